Kernel, findings, settings, lists, store interface and stand-ins

The ground layer of the whole path: named services on conc, settings and lists checked as a whole with places, the store interface with memory and HTTP implementations, stand-ins of the platform and of workers.

--- /dev/null
+++ b/findings/check.go
@@ -0,0 +1,173 @@
+package findings
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// _maxTypoDistance is the largest edit distance at which a key is suggested.
+const _maxTypoDistance = 3
+
+// check compares a value with the Go type that it is decoded into.
+func (d *Document) check(v *hujson.Value, t reflect.Type, pointer string, list *List) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		d.checkObject(v, t, pointer, list)
+	case reflect.Slice:
+		d.checkArray(v, t, pointer, list)
+	default:
+		d.checkLiteral(v, t, list)
+	}
+}
+
+func (d *Document) checkObject(v *hujson.Value, t reflect.Type, pointer string, list *List) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		list.Add(d.findingAt(v.StartOffset, "must be an object, is "+kindName(v)))
+		return
+	}
+	fields := jsonFields(t)
+	seen := make(map[string]struct{}, len(obj.Members))
+	for i := range obj.Members {
+		name := obj.Members[i].Name.Value.(hujson.Literal).String()
+		place := obj.Members[i].Name.StartOffset
+		if _, twice := seen[name]; twice {
+			list.Add(d.findingAt(place, fmt.Sprintf("key %q stands twice", name)))
+			continue
+		}
+		seen[name] = struct{}{}
+		field, known := fields[name]
+		if !known {
+			list.Add(d.findingAt(place, unknownKey(name, fields)))
+			continue
+		}
+		d.check(&obj.Members[i].Value, field, pointer+"/"+name, list)
+	}
+}
+
+func (d *Document) checkArray(v *hujson.Value, t reflect.Type, pointer string, list *List) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		list.Add(d.findingAt(v.StartOffset, "must be an array, is "+kindName(v)))
+		return
+	}
+	for i := range arr.Elements {
+		d.check(&arr.Elements[i], t.Elem(), fmt.Sprintf("%s/%d", pointer, i), list)
+	}
+}
+
+func (d *Document) checkLiteral(v *hujson.Value, t reflect.Type, list *List) {
+	lit, ok := v.Value.(hujson.Literal)
+	want := literalName(t)
+	if !ok || !literalFits(lit, t) {
+		list.Add(d.findingAt(v.StartOffset, fmt.Sprintf("must be %s, is %s", want, kindName(v))))
+	}
+}
+
+func literalFits(lit hujson.Literal, t reflect.Type) bool {
+	switch t.Kind() {
+	case reflect.String:
+		return lit.Kind() == '"'
+	case reflect.Bool:
+		return lit.Kind() == 't' || lit.Kind() == 'f'
+	case reflect.Float64:
+		return lit.Kind() == '0'
+	default:
+		return lit.Kind() == '0' && !strings.ContainsAny(string(lit), ".eE") && len(lit) < 18
+	}
+}
+
+func literalName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func kindName(v *hujson.Value) string {
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "an array"
+	case hujson.Literal:
+		const longest = 40
+		text := string(value)
+		if len(text) > longest {
+			text = text[:longest] + "…"
+		}
+		return text
+	default:
+		return "missing"
+	}
+}
+
+func jsonFields(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		fields[name] = t.Field(i).Type
+	}
+	return fields
+}
+
+func unknownKey(name string, fields map[string]reflect.Type) string {
+	known := make([]string, 0, len(fields))
+	for k := range fields {
+		known = append(known, k)
+	}
+	if s := Suggest(name, known); s != "" {
+		return fmt.Sprintf("unknown key %q; did you mean %q?", name, s)
+	}
+	sort.Strings(known)
+	return fmt.Sprintf("unknown key %q; known keys are %s", name, strings.Join(known, ", "))
+}
+
+// Suggest returns the known word nearest to word, or an empty string if none is near.
+func Suggest(word string, known []string) string {
+	sorted := append([]string(nil), known...)
+	sort.Strings(sorted)
+	best, bestDistance := "", min(_maxTypoDistance, len(word)/2)+1
+	for _, k := range sorted {
+		if dist := editDistance(strings.ToLower(word), strings.ToLower(k)); dist < bestDistance {
+			best, bestDistance = k, dist
+		}
+	}
+	return best
+}
+
+// editDistance is the Levenshtein distance of two words.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,164 @@
+// Package kernel starts named services in order and stops them in reverse.
+//
+// A service finds another one by its name and type through Get. A service
+// that fails to start, panics or ends with an error stops the rest, and the
+// error names it.
+//
+// # Usage
+//
+//	k := &kernel.Kernel{Services: []kernel.Service{store, front}}
+//	err := k.Run(ctx)
+//
+// A service looks up another one while it starts:
+//
+//	book, err := kernel.Get[*rollout.Follower](k, "rollout")
+package kernel
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+)
+
+// ErrNotFound is returned when no service has the requested name.
+var ErrNotFound = errors.New("service not found")
+
+// ErrWrongType is returned when the service found is not of the requested type.
+var ErrWrongType = errors.New("service has another type")
+
+// _stopTimeout bounds the stop of all services when StopTimeout is not set.
+const _stopTimeout = 30 * time.Second
+
+// Service is a part of the process that starts and stops by name.
+type Service interface {
+	// Name identifies the service within its kernel.
+	Name() string
+	// Start returns once the service is ready. Work that goes on is handed to Kernel.Go.
+	Start(ctx context.Context, k *Kernel) error
+	// Stop ends the service gracefully; ctx bounds it.
+	Stop(ctx context.Context) error
+}
+
+// Kernel runs services. The exported fields are set before Run.
+type Kernel struct {
+	// Services are started in this order and stopped in reverse.
+	Services []Service
+	// StopTimeout bounds the stop of all services together.
+	StopTimeout time.Duration
+	// Ready is called once every service has started.
+	Ready func()
+
+	mu      sync.Mutex
+	tasks   conc.WaitGroup
+	failure chan error
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// Run starts the services, waits until ctx ends or a service fails, and stops
+// them. It returns the first failure, named after its service.
+func (k *Kernel) Run(ctx context.Context) error {
+	k.mu.Lock()
+	k.failure = make(chan error, 1)
+	k.ctx, k.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	k.mu.Unlock()
+	defer k.cancel()
+
+	started, err := k.start(ctx)
+	if err == nil {
+		if k.Ready != nil {
+			k.Ready()
+		}
+		select {
+		case <-ctx.Done():
+		case err = <-k.failure:
+		}
+	}
+	if stopErr := k.stop(ctx, started); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// Go runs a task of the named service until its context ends with the kernel.
+func (k *Kernel) Go(name string, task func(ctx context.Context) error) {
+	k.tasks.Go(func() {
+		err := guard(func() error { return task(k.ctx) })
+		if err == nil || (errors.Is(err, context.Canceled) && k.ctx.Err() != nil) {
+			return
+		}
+		select {
+		case k.failure <- errors.Wrapf(err, "service %q", name):
+		default:
+		}
+	})
+}
+
+// Get returns the service with the given name as a T.
+func Get[T any](k *Kernel, name string) (T, error) {
+	var zero T
+	for _, s := range k.Services {
+		if s.Name() != name {
+			continue
+		}
+		typed, ok := s.(T)
+		if !ok {
+			return zero, errors.Wrapf(ErrWrongType, "%q is a %T", name, s)
+		}
+		return typed, nil
+	}
+	return zero, errors.Wrapf(ErrNotFound, "%q", name)
+}
+
+func (k *Kernel) start(ctx context.Context) (int, error) {
+	seen := make(map[string]struct{}, len(k.Services))
+	for i, s := range k.Services {
+		if _, ok := seen[s.Name()]; ok {
+			return i, errors.Errorf("service %q: name is used twice", s.Name())
+		}
+		seen[s.Name()] = struct{}{}
+		err := guard(func() error { return s.Start(ctx, k) })
+		if err != nil {
+			return i, errors.Wrapf(err, "start service %q", s.Name())
+		}
+	}
+	return len(k.Services), nil
+}
+
+func (k *Kernel) stop(ctx context.Context, started int) error {
+	limit := k.StopTimeout
+	if limit == 0 {
+		limit = _stopTimeout
+	}
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+
+	var first error
+	for i := started - 1; i >= 0; i-- {
+		s := k.Services[i]
+		err := guard(func() error { return s.Stop(stopCtx) })
+		if err != nil && first == nil {
+			first = errors.Wrapf(err, "stop service %q", s.Name())
+		}
+	}
+	k.cancel()
+	k.tasks.Wait()
+	return first
+}
+
+// guard turns a panic of f into an error.
+func guard(f func() error) error {
+	var (
+		catcher panics.Catcher
+		err     error
+	)
+	catcher.Try(func() { err = f() })
+	if r := catcher.Recovered(); r != nil {
+		return r.AsError()
+	}
+	return err
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,124 @@
+// Package retry decides what may be tried again and when.
+//
+// Backoff gives exponential delays with jitter, Budget bounds retries to a
+// share of first tries, and Circuit stops calls to a destination that fails.
+// All types take the time and randomness from their caller.
+//
+// # Usage
+//
+//	budget := retry.Budget{Share: 0.1, Burst: 10}
+//	budget.First()
+//	if budget.Take() {
+//		// one retry
+//	}
+package retry
+
+import (
+	"time"
+)
+
+// Outcome tells what is known of a request.
+type Outcome string
+
+const (
+	// Run means that the request ran and its answer is at hand.
+	Run Outcome = "run"
+	// NotRun means that no worker ran the request.
+	NotRun Outcome = "notRun"
+	// Unknown means that a worker may have run the request.
+	Unknown Outcome = "unknown"
+)
+
+// Idempotent reports whether a method may run more than once.
+func Idempotent(method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return true
+	default:
+		return false
+	}
+}
+
+// Allowed reports whether a request with the given outcome may be tried again.
+func Allowed(method string, outcome Outcome) bool {
+	switch outcome {
+	case NotRun:
+		return true
+	case Unknown:
+		return Idempotent(method)
+	default:
+		return false
+	}
+}
+
+// Backoff gives exponential delays with full jitter.
+type Backoff struct {
+	Base time.Duration
+	Max  time.Duration
+}
+
+// Delay returns the delay before the given try; attempt counts from zero and
+// random is in [0, 1).
+func (b Backoff) Delay(attempt int, random float64) time.Duration {
+	limit := b.Max
+	if attempt < 32 && b.Base<<attempt < b.Max {
+		limit = b.Base << attempt
+	}
+	return time.Duration(float64(limit) * (0.5 + random/2))
+}
+
+// Budget bounds retries to Share of first tries, plus Burst. It is not safe
+// for concurrent use.
+type Budget struct {
+	Share float64
+	Burst float64
+
+	spent float64
+}
+
+// First records a first try.
+func (b *Budget) First() {
+	b.spent = max(b.spent-b.Share, 0)
+}
+
+// Take permits one retry, or returns false when the budget is used up.
+func (b *Budget) Take() bool {
+	if b.spent+1 > b.Burst {
+		return false
+	}
+	b.spent++
+	return true
+}
+
+// Circuit opens after Threshold failures in a row and lets one call through
+// after each delay of Backoff. It is not safe for concurrent use.
+type Circuit struct {
+	Threshold int
+	Backoff   Backoff
+
+	failures int
+	until    time.Time
+}
+
+// Allow reports whether a call may be made now.
+func (c *Circuit) Allow(now time.Time) bool {
+	return c.failures < c.Threshold || !now.Before(c.until)
+}
+
+// Open reports whether the circuit is open, whether or not a call may probe it.
+func (c *Circuit) Open() bool {
+	return c.failures >= c.Threshold
+}
+
+// Succeed records a call that succeeded.
+func (c *Circuit) Succeed() {
+	c.failures = 0
+}
+
+// Fail records a call that failed; random is in [0, 1).
+func (c *Circuit) Fail(now time.Time, random float64) {
+	c.failures++
+	if c.failures >= c.Threshold {
+		c.until = now.Add(c.Backoff.Delay(c.failures-c.Threshold, random))
+	}
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,79 @@
+// Package standin has small stand-ins of the systems around wigeonlock: the
+// platform's store with its list of instances, and backend servers (workers).
+//
+// They misbehave on request, so that tests and the demo can provoke failures,
+// and they keep their own record of what they ran.
+//
+// # Usage
+//
+//	p := &standin.Platform{ListLag: 2 * time.Second}
+//	err := p.Listen("127.0.0.1:0")
+//	defer p.Close()
+//
+//	w := &standin.Worker{Service: "katalog", Slots: 5, Work: 20 * time.Millisecond}
+//	err = w.Listen("127.0.0.1:0")
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+const (
+	_readHeaderTimeout = 5 * time.Second
+	_maxBehaviourBytes = 4 << 10
+	_maxRecordBytes    = 64 << 10
+)
+
+// Mode is how a stand-in behaves.
+type Mode string
+
+// Modes of the store and of workers.
+const (
+	OK          Mode = "ok"
+	Down        Mode = "down"
+	Slow        Mode = "slow"
+	LoseReplies Mode = "loseReplies"
+	Shed        Mode = "shed"
+	Errors      Mode = "errors"
+	Truncate    Mode = "truncate"
+	Silent      Mode = "silent"
+	LateReply   Mode = "lateReply"
+	Draining    Mode = "draining"
+)
+
+// Behaviour is the body of POST /standin/behaviour.
+type Behaviour struct {
+	Mode    Mode  `json:"mode"`
+	DelayMs int64 `json:"delayMs"`
+}
+
+// Delay returns the delay as a duration.
+func (b Behaviour) Delay() time.Duration {
+	return time.Duration(b.DelayMs) * time.Millisecond
+}
+
+func readBehaviour(w http.ResponseWriter, r *http.Request, allowed ...Mode) (Behaviour, bool) {
+	var b Behaviour
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, _maxBehaviourBytes)).Decode(&b)
+	if err == nil {
+		for _, m := range allowed {
+			if b.Mode == m {
+				return b, true
+			}
+		}
+	}
+	http.Error(w, "body must be {\"mode\", \"delayMs\"} with a known mode", http.StatusBadRequest)
+	return Behaviour{}, false
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// abort closes the connection of a request without an answer.
+func abort() {
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,391 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"hash/crc64"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/platform"
+)
+
+const (
+	_registerEvery = 2 * time.Second
+	_registerTTL   = 8 * time.Second
+	_maxRuns       = 1 << 20
+	_shedWork      = time.Millisecond
+	_truncateAfter = 512
+	_lateReplyBy   = 500 * time.Millisecond
+)
+
+// RefusedHeader marks a 503 of a worker that did not run the request.
+const RefusedHeader = "Wigeonlock-Refused"
+
+// Run is one request that a worker ran.
+type Run struct {
+	RequestID      string `json:"requestId"`
+	IdempotencyKey string `json:"idempotencyKey,omitempty"`
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	AtMs           int64  `json:"atMs"`
+	Customer       string `json:"customer,omitempty"`
+	EndMs          int64  `json:"endMs,omitempty"`
+}
+
+// Worker stands in for a backend server. The exported fields are set before Listen.
+type Worker struct {
+	Name      string
+	Region    string
+	Zone      string
+	Service   string
+	Slots     int
+	Work      time.Duration
+	ColdStart time.Duration
+	// Directory is where the worker registers itself, or nil.
+	Directory platform.Directory
+
+	server   *http.Server
+	listener net.Listener
+	started  time.Time
+	stop     context.CancelFunc
+	busy     atomic.Int64
+	peak     atomic.Int64
+	probes   atomic.Int64
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	leaving   bool
+	leftAt    time.Time
+	runs      []*Run
+}
+
+// Listen starts to serve on an address and registers the worker.
+func (w *Worker) Listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	w.listener = l
+	w.started = time.Now()
+	w.behaviour = Behaviour{Mode: OK}
+	if w.Name == "" {
+		w.Name = w.Service + "-" + l.Addr().String()
+	}
+	w.server = &http.Server{Handler: w.routes(), ReadHeaderTimeout: _readHeaderTimeout}
+	go func() { _ = w.server.Serve(l) }()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	if w.Directory != nil {
+		if err := w.register(ctx); err != nil {
+			_ = w.Close()
+			return errors.Wrap(err, "register worker")
+		}
+		go w.keepRegistered(ctx)
+	}
+	return nil
+}
+
+// Address returns the address served on.
+func (w *Worker) Address() string {
+	return w.listener.Addr().String()
+}
+
+// Close ends the worker at once, as a crash would.
+func (w *Worker) Close() error {
+	w.stop()
+	return w.server.Close()
+}
+
+// Leave ends the worker gracefully: it is leaving in the list for the given
+// time, and then gone.
+func (w *Worker) Leave(ctx context.Context, linger time.Duration) error {
+	w.BeginLeave(ctx)
+	select {
+	case <-time.After(linger):
+	case <-ctx.Done():
+	}
+	w.stop()
+	if w.Directory != nil {
+		_ = w.Directory.Deregister(context.WithoutCancel(ctx), w.Name)
+	}
+	return w.server.Shutdown(ctx)
+}
+
+// BeginLeave marks the worker as leaving in the list and in its load report.
+func (w *Worker) BeginLeave(ctx context.Context) {
+	w.mu.Lock()
+	w.leaving = true
+	w.leftAt = time.Now()
+	w.mu.Unlock()
+	if w.Directory != nil {
+		_ = w.register(ctx)
+	}
+}
+
+// LeftAt returns the moment at which the worker began to leave.
+func (w *Worker) LeftAt() (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leftAt, w.leaving
+}
+
+// Behave changes the behaviour of the worker.
+func (w *Worker) Behave(b Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.behaviour = b
+}
+
+// Runs returns the requests run so far.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs := make([]Run, len(w.runs))
+	for i, r := range w.runs {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// Peak returns the largest number of requests that ran together.
+func (w *Worker) Peak() int {
+	return int(w.peak.Load())
+}
+
+func (w *Worker) register(ctx context.Context) error {
+	w.mu.Lock()
+	state := platform.Live
+	if w.leaving {
+		state = platform.Leaving
+	}
+	w.mu.Unlock()
+	return w.Directory.Register(ctx, platform.Record{
+		Name: w.Name, Kind: platform.Worker, State: state, Region: w.Region, Zone: w.Zone,
+		Service: w.Service, Address: w.Address(), Slots: w.Slots,
+	}, _registerTTL)
+}
+
+func (w *Worker) keepRegistered(ctx context.Context) {
+	tick := time.NewTicker(_registerEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			_ = w.register(ctx)
+		}
+	}
+}
+
+func (w *Worker) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", w.run(w.answer))
+	mux.HandleFunc("/bytes/{n}", w.run(w.bytes))
+	mux.HandleFunc("/echo", w.run(w.echo))
+	mux.HandleFunc("GET /load", w.load)
+	mux.HandleFunc("GET /standin/runs", func(rw http.ResponseWriter, _ *http.Request) {
+		writeJSON(rw, struct {
+			Runs []Run `json:"runs"`
+		}{w.Runs()})
+	})
+	mux.HandleFunc("POST /standin/behaviour", func(rw http.ResponseWriter, r *http.Request) {
+		b, ok := readBehaviour(rw, r, OK, Shed, Slow, Errors, Truncate, Silent, LateReply, Draining)
+		if ok {
+			w.Behave(b)
+		}
+	})
+	return mux
+}
+
+func (w *Worker) load(rw http.ResponseWriter, _ *http.Request) {
+	w.probes.Add(1)
+	w.mu.Lock()
+	draining := w.leaving || w.behaviour.Mode == Draining
+	w.mu.Unlock()
+	writeJSON(rw, struct {
+		Busy     int  `json:"busy"`
+		Slots    int  `json:"slots"`
+		Draining bool `json:"draining"`
+	}{int(w.busy.Load()), w.Slots, draining})
+}
+
+// run takes a slot, records the request as run and applies the behaviour.
+func (w *Worker) run(next http.HandlerFunc) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		b, leaving := w.behaviour, w.leaving
+		w.mu.Unlock()
+		busy := w.busy.Add(1)
+		defer w.busy.Add(-1)
+		if leaving || b.Mode == Draining || b.Mode == Shed || busy > int64(w.Slots) {
+			time.Sleep(_shedWork)
+			rw.Header().Set(RefusedHeader, "true")
+			if leaving || b.Mode == Draining {
+				rw.Header().Set("Wigeonlock-Draining", "true")
+			}
+			http.Error(rw, "no room", http.StatusServiceUnavailable)
+			return
+		}
+		w.notePeak(busy)
+		// A request whose body is cut short has not arrived and does not run.
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			abort()
+		}
+		done := w.note(r)
+		defer done()
+		rw.Header().Set("Standin-Body-Sum", strconv.FormatUint(crc64.Checksum(body, _table), 16))
+		w.work(r.Context(), b)
+		switch b.Mode {
+		case Errors:
+			http.Error(rw, "broken", http.StatusInternalServerError)
+		case Silent:
+			<-r.Context().Done()
+		case Truncate:
+			next(&shortWriter{ResponseWriter: rw, left: _truncateAfter}, r)
+		default:
+			next(rw, r)
+		}
+	}
+}
+
+var _table = crc64.MakeTable(crc64.ECMA)
+
+func (w *Worker) work(ctx context.Context, b Behaviour) {
+	d := w.Work
+	if time.Since(w.started) < w.ColdStart {
+		d *= 4
+	}
+	switch b.Mode {
+	case Slow:
+		d += b.Delay()
+	case LateReply:
+		d += max(b.Delay(), _lateReplyBy)
+	case Errors:
+		d = 0
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (w *Worker) note(r *http.Request) func() {
+	run := &Run{
+		RequestID:      r.Header.Get("Wigeonlock-Request-Id"),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Method:         r.Method,
+		Path:           r.URL.Path,
+		AtMs:           time.Now().UnixMilli(),
+		Customer:       r.Header.Get("Wigeonlock-Customer"),
+	}
+	w.mu.Lock()
+	if len(w.runs) < _maxRuns {
+		w.runs = append(w.runs, run)
+	}
+	w.mu.Unlock()
+	return func() {
+		w.mu.Lock()
+		run.EndMs = time.Now().UnixMilli()
+		w.mu.Unlock()
+	}
+}
+
+func (w *Worker) notePeak(busy int64) {
+	for {
+		peak := w.peak.Load()
+		if busy <= peak || w.peak.CompareAndSwap(peak, busy) {
+			return
+		}
+	}
+}
+
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("Content-Type", "text/plain")
+	_, _ = fmt.Fprintf(rw, "%s %s\n", w.Service, r.URL.Path)
+}
+
+func (w *Worker) echo(rw http.ResponseWriter, r *http.Request) {
+	writeJSON(rw, struct {
+		RequestID string `json:"requestId"`
+		Query     string `json:"query"`
+	}{r.Header.Get("Wigeonlock-Request-Id"), r.URL.RawQuery})
+}
+
+func (w *Worker) bytes(rw http.ResponseWriter, r *http.Request) {
+	n, err := strconv.ParseInt(r.PathValue("n"), 10, 64)
+	if err != nil || n < 0 {
+		http.Error(rw, "path must be /bytes/N", http.StatusBadRequest)
+		return
+	}
+	rw.Header().Set("Etag", `"bytes-`+strconv.FormatInt(n, 10)+`"`)
+	rw.Header().Set("Content-Type", "application/octet-stream")
+	http.ServeContent(rw, r, "", time.Time{}, &Pattern{Size: n})
+}
+
+// shortWriter ends the connection after some bytes of the body.
+type shortWriter struct {
+	http.ResponseWriter
+	left int
+}
+
+func (s *shortWriter) Write(b []byte) (int, error) {
+	if len(b) > s.left {
+		_, _ = s.ResponseWriter.Write(b[:s.left])
+		if f, ok := s.ResponseWriter.(http.Flusher); ok {
+			f.Flush()
+		}
+		abort()
+	}
+	s.left -= len(b)
+	return s.ResponseWriter.Write(b)
+}
+
+// Pattern is a document of Size bytes whose content follows from the offset.
+type Pattern struct {
+	Size   int64
+	offset int64
+}
+
+// At returns the byte of the pattern at an offset.
+func (p *Pattern) At(offset int64) byte {
+	return byte(offset*31 + offset>>8)
+}
+
+// Read reads the next bytes.
+func (p *Pattern) Read(b []byte) (int, error) {
+	if p.offset >= p.Size {
+		return 0, io.EOF
+	}
+	n := int(min(int64(len(b)), p.Size-p.offset))
+	for i := range n {
+		b[i] = p.At(p.offset + int64(i))
+	}
+	p.offset += int64(n)
+	return n, nil
+}
+
+// Seek sets the offset of the next read.
+func (p *Pattern) Seek(offset int64, whence int) (int64, error) {
+	switch whence {
+	case io.SeekStart:
+		p.offset = offset
+	case io.SeekCurrent:
+		p.offset += offset
+	case io.SeekEnd:
+		p.offset = p.Size + offset
+	}
+	return p.offset, nil
+}
