--- /dev/null
+++ b/lookup/lookup.go
@@ -0,0 +1,149 @@
+// Package lookup answers which entry instances a caller should use.
+//
+// A Table maps blocks of client addresses to sites by longest prefix. A
+// Fleet holds, for each site, the entry instances that may be answered. Each
+// block gets three of them by rendezvous hashing, so that when an instance
+// leaves, only the answers change that named it. Both are immutable and are
+// swapped whole, so that look-ups take no lock.
+//
+// # Usage
+//
+//	table := lookup.NewTable(book)
+//	fleet := lookup.NewFleet(sites)
+//	site, block := table.Find(addr)
+//	entries := fleet.Answer(site, block)
+package lookup
+
+import (
+	"net/netip"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gaissmai/bart"
+
+	"github.com/wigeonlock/wigeonlock/plan"
+)
+
+const (
+	// AnswerSize is the number of entry instances in an answer.
+	AnswerSize = 3
+	// _slots is the number of precomputed answers of a site.
+	_slots = 1024
+)
+
+// Site is a region that serves callers, by its name.
+type Site string
+
+// Entry is an entry instance in an answer.
+type Entry struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Weight is from 1 to 100.
+	Weight int `json:"weight"`
+}
+
+// Table maps blocks of client addresses to sites.
+type Table struct {
+	blocks *bart.Table[Site]
+}
+
+// NewTable indexes the blocks of a book.
+func NewTable(book *plan.Book) *Table {
+	t := &Table{blocks: new(bart.Table[Site])}
+	book.EachBlock(func(p netip.Prefix, tenant *plan.Tenant) {
+		t.blocks.Insert(p, Site(tenant.HomeRegion))
+	})
+	return t
+}
+
+// With returns a table in which one block maps to another site. The table
+// itself is not changed.
+func (t *Table) With(block netip.Prefix, site Site) *Table {
+	return &Table{blocks: t.blocks.InsertPersist(block, site)}
+}
+
+// Find returns the site of a client and a hash of its address block, a /24 or
+// /48, so that clients near each other get the same answer.
+func (t *Table) Find(addr netip.Addr) (Site, uint64) {
+	addr = addr.Unmap()
+	site, _ := t.blocks.Lookup(addr)
+	return site, blockHash(addr)
+}
+
+// Size returns the number of blocks.
+func (t *Table) Size() int {
+	return t.blocks.Size()
+}
+
+// Fleet holds the precomputed answers of each site.
+type Fleet struct {
+	sites map[Site]*[_slots][]Entry
+}
+
+// NewFleet computes the answers from the entry instances of each site.
+func NewFleet(sites map[Site][]Entry) *Fleet {
+	f := &Fleet{sites: make(map[Site]*[_slots][]Entry, len(sites))}
+	for site, entries := range sites {
+		if len(entries) > 0 {
+			f.sites[site] = answers(entries)
+		}
+	}
+	return f
+}
+
+// Answer returns the entry instances for a block, best first. The slice is
+// shared and must not be changed.
+func (f *Fleet) Answer(site Site, block uint64) []Entry {
+	slots, ok := f.sites[site]
+	if !ok {
+		return nil
+	}
+	return slots[block%_slots]
+}
+
+func answers(entries []Entry) *[_slots][]Entry {
+	type ranked struct {
+		Entry
+		rank uint64
+	}
+	hashes := make([]uint64, len(entries))
+	for i, e := range entries {
+		hashes[i] = xxhash.Sum64String(e.Address)
+	}
+	var slots [_slots][]Entry
+	list := make([]ranked, len(entries))
+	for slot := range slots {
+		for i, e := range entries {
+			list[i] = ranked{e, mix(hashes[i] ^ mix(uint64(slot)))}
+		}
+		sort.Slice(list, func(i, j int) bool { return list[i].rank > list[j].rank })
+		answer := make([]Entry, min(len(list), AnswerSize))
+		for i := range answer {
+			answer[i] = list[i].Entry
+		}
+		slots[slot] = answer
+	}
+	return &slots
+}
+
+func blockHash(addr netip.Addr) uint64 {
+	bits := 24
+	if addr.Is6() {
+		bits = 48
+	}
+	p, err := addr.Prefix(bits)
+	if err != nil {
+		return 0
+	}
+	b := p.Addr().As16()
+	return xxhash.Sum64(b[:])
+}
+
+// mix is the finalizer of splitmix64: it spreads the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/steer/steer.go
@@ -0,0 +1,222 @@
+// Package steer decides in which availability zone a request runs.
+//
+// The own zone comes first, then the other zones of the region, then other
+// regions by latency. Another zone is chosen by the headroom that it
+// advertises, trusted less as it ages, and at most up to a window that grows
+// in bounded steps and is halved when the zone refuses. The receiving zone
+// alone decides what it admits.
+//
+// Steer does no I/O and is not safe for concurrent use.
+//
+// # Usage
+//
+//	s := &steer.Steer{Zone: "tunis-a", Region: "tunis", Routes: routes}
+//	for _, dest := range s.Choose(now, rng, request, view) {
+//		s.Begin(dest, service)
+//		// forward
+//		s.End(now, dest, service, steer.Accepted)
+//	}
+package steer
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+const (
+	// WindowStart is the first window towards a zone, in requests in flight.
+	WindowStart = 4
+	// GrowInterval is the shortest time between two steps up of a window.
+	GrowInterval = 100 * time.Millisecond
+	// GrowShare is the largest part by which a window grows in a step.
+	GrowShare = 0.5
+	// HoldAfterRefusal is the time for which a zone that refused gets nothing.
+	HoldAfterRefusal = 50 * time.Millisecond
+	// MaxTries is the number of zones tried for one request.
+	MaxTries = 3
+)
+
+// Route is the way to another zone.
+type Route struct {
+	Zone   string
+	Region string
+	// OneWay is the latency in one direction.
+	OneWay time.Duration
+}
+
+// View is what is known of a service in another zone.
+type View struct {
+	// Headroom is what the zone advertises, in slots.
+	Headroom int
+	// Age is the age of the advertisement.
+	Age time.Duration
+	// Stale is the age at which it counts for nothing.
+	Stale time.Duration
+	// Known is false when the zone advertised nothing recently.
+	Known bool
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Service string
+	// Home is the home region of the customer.
+	Home string
+	// Shift tells whether the plan may run outside the home region at all.
+	Shift bool
+}
+
+// Result is how the attempt in another zone ended.
+type Result string
+
+const (
+	// Accepted means that the zone took the request.
+	Accepted Result = "accepted"
+	// Refused means that the zone refused the request.
+	Refused Result = "refused"
+	// Failed means that the zone could not be reached or did not answer.
+	Failed Result = "failed"
+)
+
+// Steer chooses zones for one entry instance.
+type Steer struct {
+	// Zone and Region are the own ones.
+	Zone   string
+	Region string
+	// Routes are the ways to all other zones.
+	Routes []Route
+
+	windows map[target]*window
+}
+
+type target struct {
+	zone    string
+	service string
+}
+
+type window struct {
+	limit    float64
+	inFlight int
+	sent     int
+	sentAt   time.Time
+	grown    time.Time
+	hold     time.Time
+}
+
+// Choose returns the other zones to try, best first.
+func (s *Steer) Choose(now time.Time, rng *rand.Rand, r Request, view func(zone, service string) View) []Route {
+	type option struct {
+		route Route
+		group int
+		room  float64
+	}
+	var options []option
+	for _, route := range s.Routes {
+		if route.Region != r.Home && !r.Shift {
+			continue
+		}
+		room := s.room(now, route, r.Service, view(route.Zone, r.Service))
+		if room < 1 {
+			continue
+		}
+		options = append(options, option{route, s.group(route, r.Home), room})
+	}
+	// Within a group of zones that cost alike, a random draw weighted by room
+	// keeps many sources from jumping on the same zone.
+	for i := range options {
+		options[i].room *= rng.Float64()
+	}
+	sort.SliceStable(options, func(i, j int) bool {
+		a, b := options[i], options[j]
+		if a.group != b.group {
+			return a.group < b.group
+		}
+		if a.route.OneWay != b.route.OneWay {
+			return a.route.OneWay < b.route.OneWay
+		}
+		return a.room > b.room
+	})
+	chosen := make([]Route, 0, MaxTries)
+	for _, o := range options[:min(len(options), MaxTries)] {
+		chosen = append(chosen, o.route)
+	}
+	return chosen
+}
+
+// Nearest returns the shortest round trip to a zone that may have room.
+func (s *Steer) Nearest(routes []Route) (time.Duration, bool) {
+	if len(routes) == 0 {
+		return 0, false
+	}
+	return 2 * routes[0].OneWay, true
+}
+
+// Begin counts a request in flight towards a zone.
+func (s *Steer) Begin(now time.Time, zone, service string) {
+	w := s.window(zone, service)
+	w.inFlight++
+	w.sent++
+	w.sentAt = now
+}
+
+// End ends a request towards a zone and moves its window.
+func (s *Steer) End(now time.Time, zone, service string, result Result) {
+	w := s.window(zone, service)
+	full := float64(w.inFlight) >= w.limit-1
+	w.inFlight--
+	switch result {
+	case Accepted:
+		if full && now.Sub(w.grown) >= GrowInterval {
+			w.limit += max(1, w.limit*GrowShare)
+			w.grown = now
+		}
+	case Refused, Failed:
+		w.limit = max(1, min(w.limit, float64(w.inFlight+1))/2)
+		w.hold = now.Add(HoldAfterRefusal)
+		w.grown = now
+	}
+}
+
+// InFlight returns the requests in flight towards a zone.
+func (s *Steer) InFlight(zone, service string) int {
+	return s.window(zone, service).inFlight
+}
+
+// group orders zones: the home region first, then the own region, then others.
+func (s *Steer) group(r Route, home string) int {
+	switch r.Region {
+	case home:
+		return 0
+	case s.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// room is how many more requests the zone is trusted to take from here.
+func (s *Steer) room(now time.Time, r Route, service string, v View) float64 {
+	w := s.window(r.Zone, service)
+	if !v.Known || v.Age >= v.Stale || now.Before(w.hold) {
+		return 0
+	}
+	trust := 1 - float64(v.Age)/float64(v.Stale)
+	advertised := float64(v.Headroom) * trust
+	if advertised < 1 {
+		return 0
+	}
+	return min(advertised, w.limit) - float64(w.inFlight)
+}
+
+func (s *Steer) window(zone, service string) *window {
+	if s.windows == nil {
+		s.windows = make(map[target]*window)
+	}
+	key := target{zone, service}
+	w, ok := s.windows[key]
+	if !ok {
+		w = &window{limit: WindowStart}
+		s.windows[key] = w
+	}
+	return w
+}
