--- /dev/null
+++ b/backend/http/body.go
@@ -0,0 +1,59 @@
+package http
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/relay"
+)
+
+var (
+	errStalled  = errors.New("body of the answer made no progress")
+	errBodyTime = errors.New("body of the answer took too long")
+)
+
+// body reads the body of an answer. It fails when nothing arrives for
+// _stallTimeout, when it takes longer than BodyTime, and when it is short.
+type body struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+	stall  *time.Timer
+	whole  *time.Timer
+}
+
+func newBody(source io.ReadCloser, length int64, cancel context.CancelCauseFunc) *body {
+	return &body{
+		ReadCloser: relay.Whole(source, length),
+		cancel:     cancel,
+		stall:      time.AfterFunc(_stallTimeout, func() { cancel(errStalled) }),
+		whole:      time.AfterFunc(BodyTime, func() { cancel(errBodyTime) }),
+	}
+}
+
+// Read reads the next bytes. The time that the caller takes between reads
+// does not count as a stall.
+func (b *body) Read(p []byte) (int, error) {
+	b.stall.Reset(_stallTimeout)
+	n, err := b.ReadCloser.Read(p)
+	b.stall.Stop()
+	return n, err
+}
+
+// Close ends the exchange.
+func (b *body) Close() error {
+	b.stall.Stop()
+	b.whole.Stop()
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
+func decodeLoad(data []byte) (Load, error) {
+	var l Load
+	err := json.Unmarshal(data, &l)
+	return l, errors.Wrap(err, "decode load")
+}
--- /dev/null
+++ b/backend/http/http.go
@@ -0,0 +1,265 @@
+// Package http carries requests to workers over HTTP/1.1.
+//
+// It tells what is known of each request: nothing reached the worker, the
+// worker refused it, it ran, or it may have run. Each worker has connections
+// of its own, so that those to one worker can be dropped when one goes silent.
+//
+// # Usage
+//
+//	t := &http.Transport{Connections: 165}
+//	answer, result := t.Carry(ctx, worker, request)
+package http
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/wigeonlock/wigeonlock/backend"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+const (
+	// BodyTime is the longest time that the body of an answer may take.
+	BodyTime = 30 * time.Second
+
+	_dialTimeout   = time.Second
+	_idleTimeout   = 30 * time.Second
+	_keepAlive     = 5 * time.Second
+	_userTimeout   = 8 * time.Second
+	_stallTimeout  = 5 * time.Second
+	_maxHeadBytes  = 64 << 10
+	_maxProbeBytes = 4 << 10
+	_bufferBytes   = 32 << 10
+)
+
+// Transport carries requests to workers. The exported fields are set before
+// the first use.
+type Transport struct {
+	// Connections bounds the connections to each worker.
+	Connections int
+
+	mu      sync.Mutex
+	clients map[string]*http.Transport
+}
+
+// Load is the load report of a worker.
+type Load struct {
+	Busy     int  `json:"busy"`
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining"`
+}
+
+var (
+	_foreign = metrics.NewCounter("wigeonlock_foreign_answers_total")
+	_silent  = metrics.NewCounter("wigeonlock_silent_connections_total")
+	_dials   = metrics.NewCounter("wigeonlock_worker_connections_total")
+)
+
+// Carry sends a request to a worker. ctx bounds the time until the head of the
+// answer; its end after that does not cut the body.
+func (t *Transport) Carry(ctx context.Context, w backend.Worker, r *relay.Request) (*relay.Answer, backend.Result) {
+	exchangeCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req := newRequest(httptrace.WithClientTrace(exchangeCtx, trace), ctx, w, r)
+	resp, err := t.client(w.Address).RoundTrip(req)
+	stopped := stop()
+	if err == nil && !stopped {
+		// The deadline passed between the head and here: the body is cut.
+		_ = resp.Body.Close()
+		err = ctx.Err()
+	}
+	if err != nil {
+		cancel(nil)
+		return t.failed(ctx, w, r, sent.Load())
+	}
+	answer, result := head(w, r, resp)
+	if answer.Body == nil {
+		_ = resp.Body.Close()
+		cancel(nil)
+		return answer, result
+	}
+	answer.Body = newBody(answer.Body, answer.Length, cancel)
+	return answer, result
+}
+
+// Probe asks a worker for its load.
+func (t *Transport) Probe(ctx context.Context, w backend.Worker) (Load, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+"/load", nil)
+	if err != nil {
+		return Load{}, errors.Wrap(err, "build probe")
+	}
+	resp, err := t.client(w.Address).RoundTrip(req)
+	if err != nil {
+		return Load{}, errors.Wrap(err, "probe")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, _maxProbeBytes))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return Load{}, errors.Errorf("probe answered %d", resp.StatusCode)
+	}
+	return decodeLoad(data)
+}
+
+// Drop closes the idle connections to a worker: when one went silent, the
+// others may have as well.
+func (t *Transport) Drop(address string) {
+	t.client(address).CloseIdleConnections()
+}
+
+// Keep closes the connections of workers that are not in the list.
+func (t *Transport) Keep(addresses map[string]struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, c := range t.clients {
+		if _, ok := addresses[address]; !ok {
+			c.CloseIdleConnections()
+			delete(t.clients, address)
+		}
+	}
+}
+
+func (t *Transport) client(address string) *http.Transport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c, ok := t.clients[address]; ok {
+		return c
+	}
+	if t.clients == nil {
+		t.clients = make(map[string]*http.Transport)
+	}
+	dialer := &net.Dialer{Timeout: _dialTimeout, KeepAlive: _keepAlive, Control: setUserTimeout}
+	c := &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			_dials.Inc()
+			return dialer.DialContext(ctx, network, addr)
+		},
+		MaxConnsPerHost:        t.Connections,
+		MaxIdleConnsPerHost:    t.Connections,
+		IdleConnTimeout:        _idleTimeout,
+		MaxResponseHeaderBytes: _maxHeadBytes,
+		DisableCompression:     true,
+		WriteBufferSize:        _bufferBytes,
+		ReadBufferSize:         _bufferBytes,
+	}
+	t.clients[address] = c
+	return c
+}
+
+// failed classifies an exchange without an answer.
+func (t *Transport) failed(
+	ctx context.Context, w backend.Worker, r *relay.Request, sent bool,
+) (*relay.Answer, backend.Result) {
+	answer, result := relay.Unknown(relay.WorkerBroken), backend.Broken
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		answer.Reason = relay.WorkerSilent
+		_silent.Inc()
+		t.Drop(w.Address)
+	case ctx.Err() != nil:
+		answer.Reason, result = relay.CallerLeft, backend.Cancelled
+	case !sent:
+		answer.Reason, result = relay.WorkerUnreachable, backend.Unreachable
+	}
+	if !sent {
+		answer.Outcome = retry.NotRun
+	}
+	answer.Worker = w.Name
+	return answer, result
+}
+
+// newRequest builds the request to the worker. The idempotency key is set
+// under its lower-case name: net/http would take the canonical one as leave to
+// send the request again by itself.
+func newRequest(ctx, deadline context.Context, w backend.Worker, r *relay.Request) *http.Request {
+	target, err := url.ParseRequestURI(r.URI)
+	if err != nil {
+		target = &url.URL{Path: "/"}
+	}
+	target.Scheme = "http"
+	target.Host = w.Address
+	req := (&http.Request{
+		Method: r.Method, URL: target, Host: w.Address, Header: make(http.Header, len(r.Header)+4),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	for _, h := range r.Header {
+		if http.CanonicalHeaderKey(h.Name) == relay.HeaderIdempotencyKey {
+			req.Header["idempotency-key"] = []string{h.Value}
+			continue
+		}
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set(relay.HeaderRequestID, r.ID)
+	if at, ok := deadline.Deadline(); ok {
+		req.Header.Set(relay.HeaderTimeout, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
+	}
+	if r.Body != nil && r.Body.Length != 0 {
+		req.Body = io.NopCloser(r.Body.Open())
+		req.ContentLength = r.Body.Length
+	}
+	return req
+}
+
+// head turns the head of an answer into an Answer. Its body stays open unless
+// the worker refused or the answer is not the one to this request.
+func head(w backend.Worker, r *relay.Request, resp *http.Response) (*relay.Answer, backend.Result) {
+	if id := resp.Header.Get(relay.HeaderRequestID); id != "" && id != r.ID {
+		_foreign.Inc()
+		answer := relay.Unknown(relay.ForeignAnswer)
+		answer.Worker = w.Name
+		return answer, backend.Broken
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(relay.HeaderRefused) == "true" {
+		answer := relay.NotRun(relay.WorkerRefused)
+		answer.Worker = w.Name
+		if resp.Header.Get(relay.HeaderDraining) != "" {
+			answer.Header = []relay.Header{{Name: relay.HeaderDraining, Value: "true"}}
+		}
+		return answer, backend.Refused
+	}
+	result := backend.Answered
+	if resp.StatusCode >= http.StatusInternalServerError {
+		result = backend.Errored
+	}
+	answer := &relay.Answer{
+		Outcome: retry.Run, Reason: relay.Served, Status: resp.StatusCode,
+		Length: resp.ContentLength, Body: resp.Body, Worker: w.Name,
+	}
+	if r.Method == http.MethodHead {
+		answer.Length = 0
+	}
+	for name, values := range resp.Header {
+		for _, v := range values {
+			answer.Header = append(answer.Header, relay.Header{Name: name, Value: v})
+		}
+	}
+	answer.Header = relay.EndToEnd(answer.Header)
+	return answer, result
+}
+
+// setUserTimeout bounds the time for which sent data may stay unacknowledged.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(_userTimeout.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,380 @@
+// Package dispatch brings a caller's request to an answer: it chooses the
+// zone, tries again what may be tried again, claims payments and resumes
+// large documents.
+//
+// Only the first entry instance of a request dispatches; the others admit or
+// refuse. A retry needs an outcome that permits it, a budget and time left.
+//
+// # Usage
+//
+//	d := &dispatch.Service{Settings: s, Here: admission, Peers: peers, Fleet: members}
+//	answer := d.Do(ctx, request)
+//	defer answer.Close()
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/fleet"
+	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/payment"
+	"github.com/wigeonlock/wigeonlock/peer"
+	"github.com/wigeonlock/wigeonlock/plan"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/rollout"
+	"github.com/wigeonlock/wigeonlock/settings"
+	"github.com/wigeonlock/wigeonlock/steer"
+)
+
+const (
+	// ServiceName is the name of the service in its kernel.
+	ServiceName = "dispatch"
+	// RetryShare is the share of first tries that may be retried.
+	RetryShare = 0.1
+	// RetryBurst is the number of retries beyond the share.
+	RetryBurst = 10
+
+	_maxTries       = 4
+	_resumeTries    = 3
+	_firstTryShare  = 0.6
+	_shortestTry    = 50 * time.Millisecond
+	_sameZoneOneWay = 5 * time.Millisecond
+	_otherOneWay    = 35 * time.Millisecond
+	_intraRegionMs  = 5
+)
+
+// Here runs requests in the own zone.
+type Here interface {
+	relay.Carrier
+	// Room tells whether a request would find a slot at once, and how long it
+	// would wait otherwise.
+	Room(now time.Time, service string) (free int, wait time.Duration, workers bool)
+}
+
+// Fleet tells who serves in other zones.
+type Fleet interface {
+	Live(now time.Time, zone string) []fleet.Member
+	View(now time.Time, zone, service string) steer.View
+	Failed(name string)
+}
+
+// Lists gives the lists in force.
+type Lists interface {
+	Current() *rollout.Current
+}
+
+// Peers connects to other instances.
+type Peers interface {
+	Client() *peer.Client
+}
+
+// Service dispatches the requests of callers. The exported fields are set
+// before Start.
+type Service struct {
+	Settings *settings.Settings
+	Here     Here
+	Fleet    Fleet
+	Lists    Lists
+	Peers    Peers
+	Payments *payment.Service
+	Log      *zap.Logger
+	// Seed seeds the choice of zones and instances.
+	Seed uint64
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	steer   steer.Steer
+	budget  retry.Budget
+	budgets map[string]*retry.Budget
+}
+
+var (
+	_ kernel.Service = (*Service)(nil)
+
+	_firstTries    = metrics.NewCounter("wigeonlock_first_tries_total")
+	_budgetRefused = metrics.NewCounter("wigeonlock_retry_budget_refusals_total")
+	_resumes       = metrics.NewCounter("wigeonlock_document_resumes_total")
+)
+
+// Name returns ServiceName.
+func (s *Service) Name() string { return ServiceName }
+
+// Start prepares the routes to the other zones.
+func (s *Service) Start(context.Context, *kernel.Kernel) error {
+	s.rng = rand.New(rand.NewPCG(s.Seed, 1))
+	s.steer = steer.Steer{Zone: s.Settings.Zone, Region: s.Settings.Region, Routes: Routes(s.Settings)}
+	s.budget = retry.Budget{Share: RetryShare, Burst: RetryBurst}
+	s.budgets = make(map[string]*retry.Budget)
+	return nil
+}
+
+// Stop does nothing: the front waits for its requests.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Routes returns the ways from the own zone to all others.
+func Routes(s *settings.Settings) []steer.Route {
+	var routes []steer.Route
+	for _, r := range s.Regions {
+		for _, zone := range r.Zones {
+			if zone == s.Zone {
+				continue
+			}
+			routes = append(routes, steer.Route{Zone: zone, Region: r.Name, OneWay: oneWay(s, r.Name)})
+		}
+	}
+	return routes
+}
+
+func oneWay(s *settings.Settings, region string) time.Duration {
+	if region == s.Region {
+		return _sameZoneOneWay
+	}
+	if link, ok := s.LinkBetween(s.Region, region); ok {
+		return time.Duration(link.OneWayMs) * time.Millisecond
+	}
+	return _otherOneWay
+}
+
+// Do brings a request to an answer. ctx bounds the time until its head.
+func (s *Service) Do(ctx context.Context, r *relay.Request) *relay.Answer {
+	tenant, refusal := s.tenant(r)
+	if refusal != nil {
+		return refusal
+	}
+	r.FromZone = s.Settings.Zone
+	key := relay.Get(r.Header, relay.HeaderIdempotencyKey)
+	if key == "" || retry.Idempotent(r.Method) {
+		return s.carry(ctx, r, tenant)
+	}
+	return s.pay(ctx, r, tenant, key)
+}
+
+func (s *Service) tenant(r *relay.Request) (*plan.Tenant, *relay.Answer) {
+	current := s.Lists.Current()
+	if current == nil {
+		return nil, relay.NotRun(relay.NoLists)
+	}
+	if _, ok := s.Settings.Service(r.Service); !ok {
+		return nil, relay.NotRun(relay.UnknownService)
+	}
+	tenant, ok := current.Book.Customer(r.Customer)
+	if !ok {
+		return nil, relay.NotRun(relay.UnknownCustomer)
+	}
+	return tenant, nil
+}
+
+// carry tries zones and workers until the request ran or may not be tried again.
+func (s *Service) carry(ctx context.Context, r *relay.Request, tenant *plan.Tenant) *relay.Answer {
+	s.firstTry(r.Service)
+	last := relay.NotRun(relay.NoRoom)
+	sent := false
+	for try := range _maxTries {
+		dest, ok := s.choose(r, tenant, last, try)
+		if !ok {
+			break
+		}
+		// A refusal before anything was sent to a worker costs no worker
+		// anything; what was sent once is only sent again within the budget.
+		if sent && !s.retryBudget(r.Service, last.Reason) {
+			break
+		}
+		answer := s.attempt(ctx, r, dest)
+		sent = sent || answer.Outcome != retry.NotRun || answer.Worker != "" || answer.Reason == relay.WorkerRefused
+		if answer.Outcome == retry.Run {
+			return s.resumable(ctx, r, tenant, answer)
+		}
+		last = worse(last, answer)
+		if answer.Worker != "" {
+			r.Tried = append(r.Tried, answer.Worker)
+		}
+		if !retry.Allowed(r.Method, answer.Outcome) || !r.Body.Replayable() || ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+// worse keeps an unknown outcome over a later refusal: once a worker may have
+// run the request, "not run" is no longer true.
+func worse(last, answer *relay.Answer) *relay.Answer {
+	if last.Outcome == retry.Unknown && answer.Outcome == retry.NotRun {
+		return last
+	}
+	if last.Outcome == retry.NotRun && answer.Outcome == retry.NotRun && answer.Reason == relay.NoRoom && last.Reason != "" {
+		return last
+	}
+	return answer
+}
+
+// destination is where an attempt goes: the own zone or an instance of another.
+type destination struct {
+	here   bool
+	member fleet.Member
+	zone   string
+}
+
+// choose returns the next destination. The first try goes to the own zone if
+// it has a slot, or if waiting for one is shorter than the way to another zone.
+func (s *Service) choose(r *relay.Request, t *plan.Tenant, last *relay.Answer, try int) (destination, bool) {
+	now := time.Now()
+	if try > 0 && !worthTrying(last.Reason) {
+		return destination{}, false
+	}
+	free, wait, workers := s.Here.Room(now, r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	routes := s.steer.Choose(now, s.rng,
+		steer.Request{Service: r.Service, Home: t.HomeRegion, Shift: t.Plan.ShiftSlots > 0},
+		func(zone, service string) steer.View { return s.Fleet.View(now, zone, service) })
+	trip, elsewhere := s.steer.Nearest(routes)
+	here := destination{here: true, zone: s.Settings.Zone}
+	retryHere := try > 0 && last.Worker != ""
+	switch {
+	case try == 0 && (free > 0 || !elsewhere || (workers && wait < trip)):
+		return here, true
+	case retryHere && free > 0:
+		return here, true
+	}
+	for _, route := range routes {
+		if m, ok := s.pickMember(now, route.Zone); ok {
+			return destination{member: m, zone: route.Zone}, true
+		}
+	}
+	if try == 0 || retryHere {
+		return here, true
+	}
+	return destination{}, false
+}
+
+// worthTrying reports whether another destination may do better.
+func worthTrying(reason relay.Reason) bool {
+	switch reason {
+	case relay.NoAllowance, relay.TooLate, relay.CallerLeft, relay.DeadlinePassed, relay.BadRequest:
+		return false
+	default:
+		return true
+	}
+}
+
+func (s *Service) pickMember(now time.Time, zone string) (fleet.Member, bool) {
+	members := s.Fleet.Live(now, zone)
+	if len(members) == 0 {
+		return fleet.Member{}, false
+	}
+	return members[s.rng.IntN(len(members))], true
+}
+
+// attempt sends the request to one destination. An idempotent request leaves
+// time for another attempt, in case the connection went silent.
+func (s *Service) attempt(ctx context.Context, r *relay.Request, d destination) *relay.Answer {
+	countAttempt(d.here)
+	attemptCtx, cancel := s.attemptContext(ctx, r)
+	defer cancel()
+	if d.here {
+		return relay.Buffer(s.Here.Carry(attemptCtx, r))
+	}
+	s.mu.Lock()
+	s.steer.Begin(time.Now(), d.zone, r.Service)
+	s.mu.Unlock()
+	answer := relay.Buffer(s.Peers.Client().Carry(attemptCtx, d.member.PeerAddress, r))
+	s.mu.Lock()
+	s.steer.End(time.Now(), d.zone, r.Service, steerResult(answer))
+	s.mu.Unlock()
+	if answer.Reason == relay.PeerUnreachable {
+		s.Fleet.Failed(d.member.Name)
+	}
+	return answer
+}
+
+func (s *Service) attemptContext(ctx context.Context, r *relay.Request) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	left := time.Until(deadline)
+	if !ok || !retry.Idempotent(r.Method) || !r.Body.Replayable() || left < _shortestTry {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(float64(left)*_firstTryShare))
+}
+
+func steerResult(a *relay.Answer) steer.Result {
+	switch {
+	case a.Outcome == retry.Run:
+		return steer.Accepted
+	case a.Outcome == retry.NotRun && a.Reason != relay.PeerUnreachable:
+		return steer.Refused
+	default:
+		return steer.Failed
+	}
+}
+
+// resumable wraps a large document so that it continues after a failure.
+func (s *Service) resumable(ctx context.Context, r *relay.Request, t *plan.Tenant, a *relay.Answer) *relay.Answer {
+	if !relay.Resumable(r.Method, a) || relay.Get(r.Header, "Range") != "" {
+		return a
+	}
+	timeout := s.Settings.LongestTimeout()
+	first := *a
+	a.Body = &relay.Resume{
+		Answer: &first,
+		Tries:  _resumeTries,
+		Again: func(headers []relay.Header) *relay.Answer {
+			_resumes.Inc()
+			again := *r
+			again.Header = append(append([]relay.Header(nil), r.Header...), headers...)
+			again.Tried = nil
+			againCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+			defer cancel()
+			return s.carry(againCtx, &again, t)
+		},
+	}
+	return a
+}
+
+func (s *Service) firstTry(service string) {
+	_firstTries.Inc()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.First()
+	s.serviceBudget(service).First()
+}
+
+// retryBudget takes one retry from the budgets of the instance and of the
+// service.
+func (s *Service) retryBudget(service string, reason relay.Reason) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.serviceBudget(service).Take() || !s.budget.Take() {
+		_budgetRefused.Inc()
+		return false
+	}
+	countRetry(reason)
+	return true
+}
+
+func (s *Service) serviceBudget(service string) *retry.Budget {
+	b, ok := s.budgets[service]
+	if !ok {
+		b = &retry.Budget{Share: RetryShare, Burst: RetryBurst}
+		s.budgets[service] = b
+	}
+	return b
+}
+
+func countAttempt(here bool) {
+	where := "otherZone"
+	if here {
+		where = "ownZone"
+	}
+	metrics.GetOrCreateCounter(`wigeonlock_attempts_total{where="` + where + `"}`).Inc()
+}
+
+func countRetry(reason relay.Reason) {
+	metrics.GetOrCreateCounter(`wigeonlock_retries_total{reason="` + string(reason) + `"}`).Inc()
+}
--- /dev/null
+++ b/limit/bucket.go
@@ -0,0 +1,37 @@
+package limit
+
+import (
+	"time"
+)
+
+// _burstTime is the time of full rate that an idle bucket holds.
+const _burstTime = 250 * time.Millisecond
+
+// Bucket bounds a rate of bytes whose sizes are known only afterwards: it
+// admits while it is not in debt, and Charge may put it there.
+type Bucket struct {
+	level   float64
+	updated time.Time
+}
+
+// Admit reports whether another transfer may begin at the given rate, in
+// bytes per second.
+func (b *Bucket) Admit(now time.Time, rate float64) bool {
+	b.refill(now, rate)
+	return b.level > 0
+}
+
+// Charge takes bytes that were transferred.
+func (b *Bucket) Charge(n int) {
+	b.level -= float64(n)
+}
+
+func (b *Bucket) refill(now time.Time, rate float64) {
+	full := rate * _burstTime.Seconds()
+	if b.updated.IsZero() {
+		b.level = full
+	} else if now.After(b.updated) {
+		b.level = min(full, b.level+rate*now.Sub(b.updated).Seconds())
+	}
+	b.updated = now
+}
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,309 @@
+// Package membership keeps an entry instance known to the others and knows
+// who they are: it runs fleet.Fleet over the platform's list and heartbeats.
+//
+// # Usage
+//
+//	m := &membership.Service{Settings: s, Directory: d, Peers: peers, Lists: follower}
+//	members := m.Live(now, "tunis-a")
+//	m.Leave() // leave look-up answers at once
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/fleet"
+	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/peer"
+	"github.com/wigeonlock/wigeonlock/platform"
+	"github.com/wigeonlock/wigeonlock/rollout"
+	"github.com/wigeonlock/wigeonlock/settings"
+	"github.com/wigeonlock/wigeonlock/steer"
+)
+
+const (
+	// ServiceName is the name of the service in its kernel.
+	ServiceName = "membership"
+	// ListInterval is the time between looks at the platform's list.
+	ListInterval = time.Second
+
+	_registerInterval = 5 * time.Second
+	_registerTTL      = 20 * time.Second
+)
+
+// Peers sends heartbeats.
+type Peers interface {
+	Client() *peer.Client
+}
+
+// Workers takes the workers of the platform's list and gives the own load.
+type Workers interface {
+	Listed(now time.Time, records []platform.Record)
+	Loads(now time.Time) []fleet.ServiceLoad
+}
+
+// Service keeps the membership of one entry instance. The exported fields are
+// set before Start.
+type Service struct {
+	Settings  *settings.Settings
+	Directory platform.Directory
+	Peers     Peers
+	Workers   Workers
+	Lists     *rollout.Follower
+	Log       *zap.Logger
+
+	ctx   context.Context
+	mu    sync.Mutex
+	fleet fleet.Fleet
+	loads []fleet.ServiceLoad
+	// sending are the members to which a heartbeat is under way.
+	sending map[string]struct{}
+}
+
+var (
+	_ kernel.Service = (*Service)(nil)
+
+	_heartbeatsSent   = metrics.NewCounter("wigeonlock_heartbeats_sent_total")
+	_heartbeatsFailed = metrics.NewCounter("wigeonlock_heartbeats_failed_total")
+	_listFailures     = metrics.NewCounter("wigeonlock_instance_list_failures_total")
+)
+
+// Name returns ServiceName.
+func (s *Service) Name() string { return ServiceName }
+
+// Prepare sets up the view, so that it can be asked before Start.
+func (s *Service) Prepare(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sending = make(map[string]struct{})
+	s.fleet = fleet.Fleet{
+		Self: fleet.Member{
+			Name: s.Settings.Instance, Region: s.Settings.Region, Zone: s.Settings.Zone,
+			Address: s.Settings.Callers.Address(), PeerAddress: s.Settings.Peers.Address(),
+			Incarnation: uint64(now.UnixMilli()),
+		},
+		Loads: func(time.Time) []fleet.ServiceLoad { return s.loads },
+	}
+}
+
+// Start registers the instance and begins to send heartbeats.
+func (s *Service) Start(ctx context.Context, k *kernel.Kernel) error {
+	s.look(ctx)
+	s.register(ctx)
+	k.Go(ServiceName, func(ctx context.Context) error {
+		s.mu.Lock()
+		s.ctx = ctx
+		s.mu.Unlock()
+		return every(ctx, fleet.Interval, func() { s.beat(ctx, k) })
+	})
+	k.Go(ServiceName, func(ctx context.Context) error {
+		return every(ctx, ListInterval, func() { s.look(ctx) })
+	})
+	k.Go(ServiceName, func(ctx context.Context) error {
+		return every(ctx, _registerInterval, func() { s.register(ctx) })
+	})
+	return nil
+}
+
+// Stop removes the instance from the platform's list.
+func (s *Service) Stop(ctx context.Context) error {
+	if err := s.Directory.Deregister(ctx, s.Settings.Instance); err != nil {
+		s.Log.Debug("instance could not be deregistered", zap.Error(err))
+	}
+	return nil
+}
+
+// Leave makes the instance leave look-up answers: it tells the list and its
+// peers that it is leaving.
+func (s *Service) Leave(ctx context.Context, k *kernel.Kernel) {
+	s.mu.Lock()
+	s.fleet.Self.Leaving = true
+	s.mu.Unlock()
+	s.beat(ctx, k)
+	s.register(ctx)
+}
+
+// Receive takes a heartbeat of a peer.
+func (s *Service) Receive(_ context.Context, h peer.Heartbeat) {
+	now := time.Now()
+	s.mu.Lock()
+	s.fleet.Receive(now, h.Message)
+	ctx := s.ctx
+	s.mu.Unlock()
+	if ctx == nil || h.From.PeerAddress == "" {
+		return
+	}
+	s.Lists.Heard(ctx, now, h.ListsVersion, h.ConfirmAge, s.Peers.Client().Source(h.From.PeerAddress))
+}
+
+// Live returns the members of a zone that take work.
+func (s *Service) Live(now time.Time, zone string) []fleet.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Live(now, zone)
+}
+
+// LastKnown returns the members of a zone whether or not they are heard of.
+func (s *Service) LastKnown(zone string) []fleet.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.LastKnown(zone)
+}
+
+// Failed records that a member could not be reached.
+func (s *Service) Failed(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Failed(name)
+}
+
+// Leaving reports whether the instance is leaving.
+func (s *Service) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Self.Leaving
+}
+
+// Here returns the number of live instances of the own zone, at least one.
+func (s *Service) Here(now time.Time) int {
+	return max(len(s.Live(now, s.Settings.Zone)), 1)
+}
+
+// Rank returns the own rank among the live instances of the own region.
+func (s *Service) Rank(now time.Time) (rank, members int) {
+	for _, r := range s.Settings.Regions {
+		if r.Name != s.Settings.Region {
+			continue
+		}
+		for _, zone := range r.Zones {
+			for _, m := range s.Live(now, zone) {
+				if m.Name < s.Settings.Instance {
+					rank++
+				}
+				members++
+			}
+		}
+	}
+	return rank, max(members, rank+1)
+}
+
+// Busy returns the slots that the other instances of the zone occupy.
+func (s *Service) Busy(now time.Time, service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Busy(now, service)
+}
+
+// View returns what another zone advertises for a service.
+func (s *Service) View(now time.Time, zone, service string) steer.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report, ok := s.fleet.Zone(now, zone)
+	if !ok {
+		return steer.View{}
+	}
+	for _, l := range report.Loads {
+		if l.Service == service {
+			return steer.View{Headroom: l.Headroom, Age: report.Age, Stale: fleet.StaleAfter, Known: true}
+		}
+	}
+	return steer.View{}
+}
+
+// beat sends the messages that are due.
+func (s *Service) beat(ctx context.Context, k *kernel.Kernel) {
+	now := time.Now()
+	loads := s.Workers.Loads(now)
+	version, age := s.Lists.ConfirmedAge(now)
+	s.mu.Lock()
+	s.loads = loads
+	sends := s.fleet.Tick(now)
+	s.mu.Unlock()
+	for _, send := range sends {
+		h := peer.Heartbeat{Message: send.Message, ListsVersion: version, ConfirmAge: age}
+		k.Go(ServiceName, func(context.Context) error {
+			s.send(ctx, send.To, h)
+			return nil
+		})
+	}
+}
+
+// send sends one heartbeat. While one to the same member is under way, the
+// next is left out: a member that does not answer must not gather calls.
+func (s *Service) send(ctx context.Context, to fleet.Member, h peer.Heartbeat) {
+	s.mu.Lock()
+	_, busy := s.sending[to.Name]
+	s.sending[to.Name] = struct{}{}
+	s.mu.Unlock()
+	if busy && !h.From.Leaving {
+		return
+	}
+	_heartbeatsSent.Inc()
+	err := s.Peers.Client().Exchange(ctx, to.PeerAddress, h)
+	s.mu.Lock()
+	delete(s.sending, to.Name)
+	s.mu.Unlock()
+	if err != nil {
+		_heartbeatsFailed.Inc()
+		s.Log.Debug("heartbeat failed", zap.String("to", to.Name), zap.Error(err))
+	}
+}
+
+// look reads the platform's list.
+func (s *Service) look(ctx context.Context) {
+	records, err := s.Directory.List(ctx)
+	if err != nil {
+		_listFailures.Inc()
+		s.Log.Debug("instance list could not be read", zap.Error(err))
+		return // the former list stays in use
+	}
+	now := time.Now()
+	var members []fleet.Member
+	for _, rec := range records {
+		if rec.Kind == platform.Entry {
+			members = append(members, fleet.Member{
+				Name: rec.Name, Region: rec.Region, Zone: rec.Zone,
+				Address: rec.Address, PeerAddress: rec.PeerAddress, Leaving: rec.State == platform.Leaving,
+			})
+		}
+	}
+	s.mu.Lock()
+	s.fleet.Listed(now, members)
+	s.mu.Unlock()
+	s.Workers.Listed(now, records)
+}
+
+func (s *Service) register(ctx context.Context) {
+	s.mu.Lock()
+	self := s.fleet.Self
+	s.mu.Unlock()
+	state := platform.Live
+	if self.Leaving {
+		state = platform.Leaving
+	}
+	err := s.Directory.Register(ctx, platform.Record{
+		Name: self.Name, Kind: platform.Entry, State: state, Region: self.Region, Zone: self.Zone,
+		Address: self.Address, PeerAddress: self.PeerAddress,
+	}, _registerTTL)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		s.Log.Warn("instance could not be registered", zap.Error(err))
+	}
+}
+
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,135 @@
+// Package peer connects entry instances over gRPC: it relays requests to
+// another zone, carries heartbeats and hands out the lists.
+//
+// The messages are generated in package wire. When a connection makes no
+// progress it is replaced by a fresh one, since an open connection can go
+// silent for good while new ones work.
+//
+// # Usage
+//
+//	s := &peer.Service{Settings: s, Carrier: admission, Gossip: members, Lists: follower}
+//	answer := s.Client().Carry(ctx, "10.0.0.2:8081", request)
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/wigeonlock/wigeonlock/fleet"
+	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/peer/wire"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/rollout"
+	"github.com/wigeonlock/wigeonlock/settings"
+)
+
+const (
+	// ServiceName is the name of the service in its kernel.
+	ServiceName = "peer"
+
+	_maxMessageBytes = 4 << 20
+	_chunkBytes      = 32 << 10
+	_windowBytes     = 1 << 20
+	_maxStreams      = 4096
+	_pingTime        = 10 * time.Second
+	_pingTimeout     = 3 * time.Second
+	_minPing         = 5 * time.Second
+)
+
+// Heartbeat is a fleet message with what the sender knows of the lists.
+type Heartbeat struct {
+	fleet.Message
+	ListsVersion uint64
+	// ConfirmAge is the age of the confirmation that the version is the newest.
+	ConfirmAge time.Duration
+}
+
+// Gossip takes heartbeats.
+type Gossip interface {
+	Receive(ctx context.Context, h Heartbeat)
+}
+
+// Service serves the other entry instances. The exported fields are set
+// before Start.
+type Service struct {
+	Settings *settings.Settings
+	Carrier  relay.Carrier
+	Gossip   Gossip
+	Lists    rollout.Source
+	Log      *zap.Logger
+
+	server *grpc.Server
+	client *Client
+}
+
+var _ kernel.Service = (*Service)(nil)
+
+// Name returns ServiceName.
+func (s *Service) Name() string { return ServiceName }
+
+// Start listens for peers.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	serverCreds, clientCreds, err := credentialsOf(s.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.Settings.Peers.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	s.client = &Client{creds: clientCreds}
+	s.server = grpc.NewServer(
+		grpc.Creds(serverCreds),
+		grpc.MaxRecvMsgSize(_maxMessageBytes),
+		grpc.MaxConcurrentStreams(_maxStreams),
+		grpc.InitialWindowSize(_windowBytes),
+		grpc.InitialConnWindowSize(4*_windowBytes),
+		grpc.NumStreamWorkers(8),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: _pingTime, Timeout: _pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: _minPing, PermitWithoutStream: true}),
+	)
+	wire.RegisterPeerServer(s.server, &server{service: s})
+	k.Go(ServiceName, func(context.Context) error { return s.server.Serve(l) })
+	return nil
+}
+
+// Stop waits for open exchanges until ctx ends, and closes all connections.
+func (s *Service) Stop(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.server.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.server.Stop()
+		<-done
+	}
+	s.client.close()
+	return nil
+}
+
+// Client returns the client towards other instances.
+func (s *Service) Client() *Client {
+	return s.client
+}
+
+func credentialsOf(t settings.TLS) (server, client credentials.TransportCredentials, err error) {
+	if !t.Enabled() {
+		return insecure.NewCredentials(), insecure.NewCredentials(), nil
+	}
+	files := &keyFiles{settings: t}
+	if err := files.load(); err != nil {
+		return nil, nil, err
+	}
+	return credentials.NewTLS(files.server()), credentials.NewTLS(files.client()), nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/wigeonlock/wigeonlock/peer/wire"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+type server struct {
+	wire.UnimplementedPeerServer
+	service *Service
+}
+
+// Relay runs a request of another instance in the own zone.
+func (s *server) Relay(stream wire.Peer_RelayServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	head := first.GetRequest()
+	if head == nil {
+		return status.Error(codes.InvalidArgument, "first frame is not a request")
+	}
+	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(head.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+
+	r := requestOf(head)
+	if r.Body.Length != 0 {
+		r.Body.Stream = &frameReader{recv: stream.Recv}
+	}
+	answer := s.service.Carrier.Carry(ctx, r)
+	defer answer.Close()
+	if err := stream.Send(&wire.Frame{Kind: &wire.Frame_Answer{Answer: answerHead(head.GetId(), answer)}}); err != nil {
+		return err
+	}
+	if answer.Outcome != retry.Run {
+		return nil
+	}
+	return sendBody(stream.Send, answer.Body)
+}
+
+// Exchange takes a heartbeat.
+func (s *server) Exchange(ctx context.Context, g *wire.Gossip) (*wire.Empty, error) {
+	s.service.Gossip.Receive(ctx, heartbeatOf(g))
+	return &wire.Empty{}, nil
+}
+
+// Lists hands out the lists in force.
+func (s *server) Lists(ctx context.Context, r *wire.ListsRequest) (*wire.ListsReply, error) {
+	head, parts, err := s.service.Lists.Lists(ctx, r.GetDigests())
+	if err != nil {
+		return nil, status.Error(codes.NotFound, err.Error())
+	}
+	data, err := head.Encode()
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &wire.ListsReply{Head: data, Parts: parts}, nil
+}
+
+// sendBody sends a body in frames and marks its end. A body that fails ends
+// the stream with an error, so that it never looks whole.
+func sendBody(send func(*wire.Frame) error, body io.Reader) error {
+	for {
+		chunk := make([]byte, _chunkBytes)
+		n, err := body.Read(chunk)
+		if n > 0 {
+			if sendErr := send(&wire.Frame{Kind: &wire.Frame_Body{Body: chunk[:n]}}); sendErr != nil {
+				return sendErr
+			}
+		}
+		switch {
+		case err == nil:
+		case err == io.EOF: //nolint:errorlint // Only a bare EOF marks a whole body.
+			return send(&wire.Frame{Kind: &wire.Frame_End{End: true}})
+		default:
+			return status.Error(codes.DataLoss, err.Error())
+		}
+	}
+}
+
+// frameReader reads a body from frames until the end frame.
+type frameReader struct {
+	recv func() (*wire.Frame, error)
+	rest []byte
+	done bool
+}
+
+// Read reads the next bytes; a stream that ends without its end frame is short.
+func (f *frameReader) Read(p []byte) (int, error) {
+	for len(f.rest) == 0 {
+		if f.done {
+			return 0, io.EOF
+		}
+		frame, err := f.recv()
+		if err != nil {
+			return 0, errors.Wrap(relay.ErrShort, err.Error())
+		}
+		switch kind := frame.GetKind().(type) {
+		case *wire.Frame_Body:
+			f.rest = kind.Body
+		case *wire.Frame_End:
+			f.done = true
+		default:
+			return 0, errors.New("unexpected frame")
+		}
+	}
+	n := copy(p, f.rest)
+	f.rest = f.rest[n:]
+	return n, nil
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -122,6 +122,14 @@
 	h.known = false // read the record before anything is admitted under the new version
 }
 
+// Restart begins a new session after the old one lapsed. Its share is left to
+// be reclaimed; requests that still run count against the new one.
+func (h *Holder) Restart(session *Session) {
+	h.Session = session
+	h.known = false
+	h.fence.active = false
+}
+
 // Admit takes a slot of the share. confirmed tells that the lists are known
 // to be the newest as of a moment ago.
 func (h *Holder) Admit(now time.Time, confirmed bool) Reason {
--- /dev/null
+++ b/relay/whole.go
@@ -0,0 +1,161 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+// ErrShort is returned by a body that ends before its length.
+var ErrShort = errors.New("answer is short")
+
+// Whole returns a reader that fails with ErrShort when the body ends before
+// its length, instead of ending like a whole one.
+func Whole(body io.ReadCloser, length int64) io.ReadCloser {
+	if length < 0 {
+		return body
+	}
+	return &wholeReader{ReadCloser: body, left: length}
+}
+
+type wholeReader struct {
+	io.ReadCloser
+	left int64
+}
+
+func (w *wholeReader) Read(p []byte) (int, error) {
+	if w.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := w.ReadCloser.Read(p[:min(int64(len(p)), w.left)])
+	w.left -= int64(n)
+	if err == io.EOF && w.left > 0 {
+		err = ErrShort
+	}
+	return n, err
+}
+
+// Buffer reads an answer of up to BufferBytes whole. A short one becomes an
+// answer with an unknown outcome. A larger one is left to stream. Once read
+// whole, the answer of the worker is closed, so that its slot is free.
+func Buffer(a *Answer) *Answer {
+	if a.Body == nil || a.Length > BufferBytes {
+		return a
+	}
+	limit := int64(BufferBytes)
+	if a.Length >= 0 {
+		limit = a.Length
+	}
+	data := bytes.NewBuffer(make([]byte, 0, max(min(limit, 4<<10), bytes.MinRead)))
+	_, err := io.Copy(data, io.LimitReader(a.Body, limit+1))
+	switch {
+	case err != nil || (a.Length >= 0 && int64(data.Len()) < a.Length):
+		a.Close()
+		broken := Unknown(WorkerBroken)
+		broken.Worker = a.Worker
+		return broken
+	case a.Length < 0 && data.Len() > BufferBytes:
+		a.Body = &prefixed{Reader: io.MultiReader(bytes.NewReader(data.Bytes()), a.Body), Closer: a.Body}
+		return a
+	default:
+		a.Close()
+		a.Length = int64(data.Len())
+		a.Body = io.NopCloser(bytes.NewReader(data.Bytes()))
+		return a
+	}
+}
+
+type prefixed struct {
+	io.Reader
+	io.Closer
+}
+
+// Resume continues the body of a large document after a failure.
+type Resume struct {
+	// Answer is the first answer; its body is read through Resume.
+	Answer *Answer
+	// Again asks for the rest of the document by the given headers.
+	Again func(headers []Header) *Answer
+	// Tries is the number of times that the document may be resumed.
+	Tries int
+
+	offset int64
+	body   io.ReadCloser
+	etag   string
+}
+
+// Resumable reports whether a document can be continued: a complete answer to
+// a GET, of known length, with a strong ETag.
+func Resumable(method string, a *Answer) bool {
+	etag := Get(a.Header, "Etag")
+	return method == "GET" && a.Status == 200 && a.Length > BufferBytes &&
+		strings.HasPrefix(etag, `"`) && Get(a.Header, "Content-Encoding") == ""
+}
+
+// Read reads the document, across connections if need be.
+func (r *Resume) Read(p []byte) (int, error) {
+	if r.body == nil {
+		r.body = r.Answer.Body
+		r.etag = Get(r.Answer.Header, "Etag")
+	}
+	if r.offset >= r.Answer.Length {
+		return 0, io.EOF
+	}
+	for {
+		n, err := r.body.Read(p)
+		r.offset += int64(n)
+		if n > 0 || err == nil {
+			return n, nil
+		}
+		if r.offset >= r.Answer.Length {
+			return 0, io.EOF
+		}
+		if resumeErr := r.resume(); resumeErr != nil {
+			return 0, errors.Wrap(resumeErr, err.Error())
+		}
+	}
+}
+
+// Close closes the connection in use.
+func (r *Resume) Close() error {
+	if r.body == nil {
+		r.body = r.Answer.Body
+	}
+	return r.body.Close()
+}
+
+func (r *Resume) resume() error {
+	_ = r.body.Close()
+	r.body = io.NopCloser(strings.NewReader(""))
+	if r.Tries == 0 {
+		return errors.New("document was resumed too often")
+	}
+	r.Tries--
+	next := r.Again([]Header{
+		{Name: "Range", Value: fmt.Sprintf("bytes=%d-", r.offset)},
+		{Name: "If-Range", Value: r.etag},
+	})
+	if err := r.fits(next); err != nil {
+		next.Close()
+		return err
+	}
+	r.body = next.Body
+	return nil
+}
+
+func (r *Resume) fits(next *Answer) error {
+	want := fmt.Sprintf("bytes %d-%d/%d", r.offset, r.Answer.Length-1, r.Answer.Length)
+	switch {
+	case next.Outcome != retry.Run:
+		return errors.Errorf("document cannot be resumed: %s", next.Reason)
+	case next.Status != 206 || Get(next.Header, "Etag") != r.etag || Get(next.Header, "Content-Range") != want:
+		return errors.New("document changed")
+	default:
+		return nil
+	}
+}
