--- a/backend/http/body.go
+++ b/backend/http/body.go
@@ -54,6 +54,8 @@
 
 func decodeLoad(data []byte) (Load, error) {
 	var l Load
-	err := json.Unmarshal(data, &l)
-	return l, errors.Wrap(err, "decode load")
+	if err := json.Unmarshal(data, &l); err != nil {
+		return Load{}, errors.Wrap(err, "decode load")
+	}
+	return l, nil
 }
--- a/dispatch/pay.go
+++ b/dispatch/pay.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
-	"io"
 	"strconv"
 	"time"
 
@@ -61,11 +59,9 @@
 // that is small.
 func (s *Service) record(a *relay.Answer, key payment.Key, attempt string) {
 	outcome := payment.Outcome{Status: a.Status, ContentType: relay.Get(a.Header, "Content-Type")}
-	if a.Length >= 0 && a.Length <= payment.MaxAnswerBytes {
-		data, err := io.ReadAll(a.Body)
+	if data, ok := relay.Bytes(a); ok && len(data) <= payment.MaxAnswerBytes {
 		outcome.Answer = data
-		outcome.Kept = err == nil
-		a.Body = io.NopCloser(bytes.NewReader(data))
+		outcome.Kept = true
 	}
 	s.Payments.Finish(key, attempt, outcome)
 }
@@ -79,9 +75,10 @@
 		}
 		return a
 	}
-	return &relay.Answer{
+	a := &relay.Answer{
 		Outcome: retry.Run, Reason: relay.PaymentReplayed, Status: c.Status,
 		Header: []relay.Header{{Name: "Content-Type", Value: c.ContentType}},
-		Length: int64(len(c.Answer)), Body: io.NopCloser(bytes.NewReader(c.Answer)),
 	}
+	relay.SetBytes(a, c.Answer)
+	return a
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,10 @@
 	SuspectAfter = 2 * time.Second
 	// StaleAfter is the age from which the report of another zone counts for nothing.
 	StaleAfter = 6 * time.Second
+	// SpreadTime is the time until all instances know that one is leaving, while
+	// messages arrive: a heartbeat, a report, a heartbeat in the other zone, and
+	// as much again for one that is lost.
+	SpreadTime = 2 * (ReportInterval + 2*Interval)
 	// ForgetAfter is the silence after which a member is removed.
 	ForgetAfter = 60 * time.Second
 )
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,9 @@
 // ErrNotFound is returned when no service has the requested name.
 var ErrNotFound = errors.New("service not found")
 
+// ErrAborted is returned by Run after Abort.
+var ErrAborted = errors.New("aborted")
+
 // ErrWrongType is returned when the service found is not of the requested type.
 var ErrWrongType = errors.New("service has another type")
 
@@ -55,6 +59,7 @@
 	mu      sync.Mutex
 	tasks   conc.WaitGroup
 	failure chan error
+	aborted atomic.Bool
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
@@ -78,12 +83,22 @@
 		case err = <-k.failure:
 		}
 	}
+	if k.aborted.Load() {
+		k.cancel()
+		return ErrAborted
+	}
 	if stopErr := k.stop(ctx, started); err == nil {
 		err = stopErr
 	}
 	return err
 }
 
+// Abort ends Run at once, without stopping the services, as a crash would.
+func (k *Kernel) Abort() {
+	k.aborted.Store(true)
+	k.fail(ErrAborted)
+}
+
 // Go runs a task of the named service until its context ends with the kernel.
 func (k *Kernel) Go(name string, task func(ctx context.Context) error) {
 	k.tasks.Go(func() {
@@ -91,13 +106,20 @@
 		if err == nil || (errors.Is(err, context.Canceled) && k.ctx.Err() != nil) {
 			return
 		}
-		select {
-		case k.failure <- errors.Wrapf(err, "service %q", name):
-		default:
-		}
+		k.fail(errors.Wrapf(err, "service %q", name))
 	})
 }
 
+func (k *Kernel) fail(err error) {
+	k.mu.Lock()
+	failure := k.failure
+	k.mu.Unlock()
+	select {
+	case failure <- err:
+	default:
+	}
+}
+
 // Get returns the service with the given name as a T.
 func Get[T any](k *Kernel, name string) (T, error) {
 	var zero T
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -61,6 +61,8 @@
 	mu    sync.Mutex
 	fleet fleet.Fleet
 	loads []fleet.ServiceLoad
+	// ready is only used by the heartbeat loop.
+	ready bool
 	// sending are the members to which a heartbeat is under way.
 	sending map[string]struct{}
 }
@@ -209,15 +211,26 @@
 	}
 	for _, l := range report.Loads {
 		if l.Service == service {
-			return steer.View{Headroom: l.Headroom, Age: report.Age, Stale: fleet.StaleAfter, Known: true}
+			return steer.View{
+				Headroom: l.Headroom, Slots: l.Slots, Age: report.Age, Stale: fleet.StaleAfter, Known: true,
+			}
 		}
 	}
 	return steer.View{}
 }
 
-// beat sends the messages that are due.
+// beat sends the messages that are due. An instance without lists takes no
+// part yet: it asks its peers for them.
 func (s *Service) beat(ctx context.Context, k *kernel.Kernel) {
 	now := time.Now()
+	if s.Lists.Current() == nil {
+		s.pull(ctx, now)
+		return
+	}
+	if !s.ready {
+		s.ready = true
+		s.register(ctx)
+	}
 	loads := s.Workers.Loads(now)
 	version, age := s.Lists.ConfirmedAge(now)
 	s.mu.Lock()
@@ -233,6 +246,26 @@
 	}
 }
 
+// pull fetches the lists from a listed peer, the ones of the own zone first.
+func (s *Service) pull(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	members := s.fleet.LastKnown(s.Settings.Zone)
+	for _, route := range s.Settings.Regions {
+		for _, zone := range route.Zones {
+			if zone != s.Settings.Zone {
+				members = append(members, s.fleet.LastKnown(zone)...)
+			}
+		}
+	}
+	s.mu.Unlock()
+	for _, m := range members {
+		if s.Lists.Current() != nil {
+			return
+		}
+		s.Lists.Heard(ctx, now, 1, rollout.ConfirmWindow, s.Peers.Client().Source(m.PeerAddress))
+	}
+}
+
 // send sends one heartbeat. While one to the same member is under way, the
 // next is left out: a member that does not answer must not gather calls.
 func (s *Service) send(ctx context.Context, to fleet.Member, h peer.Heartbeat) {
@@ -279,6 +312,9 @@
 }
 
 func (s *Service) register(ctx context.Context) {
+	if s.Lists.Current() == nil {
+		return // nobody is to come here yet
+	}
 	s.mu.Lock()
 	self := s.fleet.Self
 	s.mu.Unlock()
--- a/payment/record.go
+++ b/payment/record.go
@@ -124,7 +124,10 @@
 	}
 	sort.Slice(body.Claims, func(i, j int) bool { return body.Claims[i].Key < body.Claims[j].Key })
 	data, err := json.Marshal(body)
-	return data, errors.Wrap(err, "encode claims")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode claims")
+	}
+	return data, nil
 }
 
 func (r *Record) clone() *Record {
--- a/peer/client.go
+++ b/peer/client.go
@@ -129,7 +129,10 @@
 	defer cancel()
 	_, err = wire.NewPeerClient(conn).Exchange(ctx, gossip(h))
 	c.progress(address, conn, status.Code(err) == codes.DeadlineExceeded)
-	return errors.Wrap(err, "exchange")
+	if err != nil {
+		return errors.Wrap(err, "exchange")
+	}
+	return nil
 }
 
 // Source returns the instance at an address as a source of lists.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,6 +65,8 @@
 	Gossip   Gossip
 	Lists    rollout.Source
 	Log      *zap.Logger
+	// Listen replaces net.Listen.
+	Listen func(network, address string) (net.Listener, error)
 
 	server *grpc.Server
 	client *Client
@@ -81,7 +83,11 @@
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", s.Settings.Peers.Listen)
+	listen := s.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	l, err := listen("tcp", s.Settings.Peers.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -121,6 +121,8 @@
 	for _, cert := range state.PeerCertificates[1:] {
 		options.Intermediates.AddCert(cert)
 	}
-	_, err := state.PeerCertificates[0].Verify(options)
-	return errors.Wrap(err, "verify peer")
+	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
+		return errors.Wrap(err, "verify peer")
+	}
+	return nil
 }
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -64,12 +64,34 @@
 		return a
 	default:
 		a.Close()
-		a.Length = int64(data.Len())
-		a.Body = io.NopCloser(bytes.NewReader(data.Bytes()))
+		SetBytes(a, data.Bytes())
 		return a
 	}
 }
 
+// SetBytes makes data the whole body of an answer.
+func SetBytes(a *Answer, data []byte) {
+	a.Length = int64(len(data))
+	a.Body = &memoryBody{Reader: bytes.NewReader(data), data: data}
+}
+
+// Bytes returns the body of an answer that is whole in memory.
+func Bytes(a *Answer) ([]byte, bool) {
+	m, ok := a.Body.(*memoryBody)
+	if !ok {
+		return nil, false
+	}
+	return m.data, true
+}
+
+type memoryBody struct {
+	*bytes.Reader
+	data []byte
+}
+
+// Close does nothing.
+func (m *memoryBody) Close() error { return nil }
+
 type prefixed struct {
 	io.Reader
 	io.Closer
--- a/rollout/head.go
+++ b/rollout/head.go
@@ -67,7 +67,10 @@
 // Encode returns the stored form of the head.
 func (h Head) Encode() ([]byte, error) {
 	data, err := json.Marshal(h)
-	return data, errors.Wrap(err, "encode head")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode head")
+	}
+	return data, nil
 }
 
 // DecodeHead reads the stored form of a head.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -38,6 +38,9 @@
 	AtMs           int64  `json:"atMs"`
 	Customer       string `json:"customer,omitempty"`
 	EndMs          int64  `json:"endMs,omitempty"`
+	// Start and End are the exact times; End is zero while the request runs.
+	Start time.Time `json:"-"`
+	End   time.Time `json:"-"`
 }
 
 // Worker stands in for a backend server. The exported fields are set before Listen.
@@ -49,6 +52,9 @@
 	Slots     int
 	Work      time.Duration
 	ColdStart time.Duration
+	// Arrived, if set, is called with each request that arrives, also one that
+	// is refused, and returns the function to call when it ends.
+	Arrived func(customer string) (ended func())
 	// Directory is where the worker registers itself, or nil.
 	Directory platform.Directory
 
@@ -225,6 +231,9 @@
 		w.mu.Lock()
 		b, leaving := w.behaviour, w.leaving
 		w.mu.Unlock()
+		if w.Arrived != nil {
+			defer w.Arrived(r.Header.Get("Wigeonlock-Customer"))()
+		}
 		busy := w.busy.Add(1)
 		defer w.busy.Add(-1)
 		if leaving || b.Mode == Draining || b.Mode == Shed || busy > int64(w.Slots) {
@@ -283,12 +292,14 @@
 }
 
 func (w *Worker) note(r *http.Request) func() {
+	now := time.Now()
 	run := &Run{
+		Start:          now,
 		RequestID:      r.Header.Get("Wigeonlock-Request-Id"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Method:         r.Method,
 		Path:           r.URL.Path,
-		AtMs:           time.Now().UnixMilli(),
+		AtMs:           now.UnixMilli(),
 		Customer:       r.Header.Get("Wigeonlock-Customer"),
 	}
 	w.mu.Lock()
@@ -298,7 +309,8 @@
 	w.mu.Unlock()
 	return func() {
 		w.mu.Lock()
-		run.EndMs = time.Now().UnixMilli()
+		run.End = time.Now()
+		run.EndMs = run.End.UnixMilli()
 		w.mu.Unlock()
 	}
 }
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -49,6 +49,8 @@
 type View struct {
 	// Headroom is what the zone advertises, in slots.
 	Headroom int
+	// Slots are those of the zone's workers.
+	Slots int
 	// Age is the age of the advertisement.
 	Age time.Duration
 	// Stale is the age at which it counts for nothing.
--- a/store/http/http.go
+++ b/store/http/http.go
@@ -114,7 +114,10 @@
 	_, err := s.call(ctx, call{
 		method: http.MethodDelete, path: keyPath(key) + "?version=" + formatVersion(expected), write: true,
 	})
-	return errors.Wrapf(err, "delete %q", key)
+	if err != nil {
+		return errors.Wrapf(err, "delete %q", key)
+	}
+	return nil
 }
 
 // Watch waits until the version of a key differs from after.
@@ -154,7 +157,10 @@
 	_, err := s.call(ctx, call{
 		method: http.MethodPost, path: "/v1/leases/" + url.PathEscape(string(lease)), write: true,
 	})
-	return errors.Wrap(err, "renew lease")
+	if err != nil {
+		return errors.Wrap(err, "renew lease")
+	}
+	return nil
 }
 
 // Revoke ends a lease.
@@ -162,7 +168,10 @@
 	_, err := s.call(ctx, call{
 		method: http.MethodDelete, path: "/v1/leases/" + url.PathEscape(string(lease)), write: true,
 	})
-	return errors.Wrap(err, "revoke lease")
+	if err != nil {
+		return errors.Wrap(err, "revoke lease")
+	}
+	return nil
 }
 
 type call struct {
