--- a/backend/http/http.go
+++ b/backend/http/http.go
@@ -86,7 +86,7 @@
 	}
 	if err != nil {
 		cancel(nil)
-		return t.failed(ctx, w, r, sent.Load())
+		return t.failed(ctx, w, sent.Load())
 	}
 	answer, result := head(w, r, resp)
 	if answer.Body == nil {
@@ -163,7 +163,7 @@
 
 // failed classifies an exchange without an answer.
 func (t *Transport) failed(
-	ctx context.Context, w backend.Worker, r *relay.Request, sent bool,
+	ctx context.Context, w backend.Worker, sent bool,
 ) (*relay.Answer, backend.Result) {
 	answer, result := relay.Unknown(relay.WorkerBroken), backend.Broken
 	switch {
--- a/cmd/wigeonlock/lists.go
+++ b/cmd/wigeonlock/lists.go
@@ -137,7 +137,7 @@
 	}
 	result := applied{Version: head.Version, EditID: head.ID}
 	if wait := c.Duration("wait"); wait > 0 {
-		if err := waitInForce(ctx, c.String("platform"), head.Version, wait, &result); err != nil {
+		if err = waitInForce(ctx, c.String("platform"), head.Version, wait, &result); err != nil {
 			return err
 		}
 	}
@@ -298,7 +298,7 @@
 		return err
 	}
 	var st instance.Status
-	if err := getJSON(ctx, "http://"+s.Admin.Address()+"/v1/status", &st); err != nil {
+	if err = getJSON(ctx, "http://"+s.Admin.Address()+"/v1/status", &st); err != nil {
 		return errors.Wrap(err, "instance does not answer")
 	}
 	if asJSON {
--- a/peer/client.go
+++ b/peer/client.go
@@ -94,7 +94,7 @@
 		return failed(err, false)
 	}
 	head := &wire.Frame{Kind: &wire.Frame_Request{Request: requestHead(r, timeout)}}
-	if err := stream.Send(head); err != nil {
+	if err = stream.Send(head); err != nil {
 		return failed(recvError(stream, err), true)
 	}
 	if r.Body != nil && r.Body.Length != 0 {
@@ -104,7 +104,7 @@
 				_ = stream.CloseSend()
 			}
 		}()
-	} else if err := stream.CloseSend(); err != nil {
+	} else if err = stream.CloseSend(); err != nil {
 		return failed(err, true)
 	}
 	frame, err := stream.Recv()
--- a/peer/server.go
+++ b/peer/server.go
@@ -77,9 +77,9 @@
 				return sendErr
 			}
 		}
-		switch {
-		case err == nil:
-		case err == io.EOF: //nolint:errorlint // Only a bare EOF marks a whole body.
+		switch err {
+		case nil:
+		case io.EOF: // only a bare EOF marks a whole body
 			return send(&wire.Frame{Kind: &wire.Frame_End{End: true}})
 		default:
 			return status.Error(codes.DataLoss, err.Error())
--- a/plan/diff.go
+++ b/plan/diff.go
@@ -30,9 +30,9 @@
 	return fmt.Sprintf("%s %s", c.Kind, c.Item)
 }
 
-// Diff returns the changes that lead from old to new lists, sorted by item.
-func Diff(old, new Lists) []Change {
-	before, after := items(old), items(new)
+// Diff returns the changes that lead from one version of the lists to the next, sorted by item.
+func Diff(from, to Lists) []Change {
+	before, after := items(from), items(to)
 	var changes []Change
 	for name, item := range before {
 		other, ok := after[name]
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -134,10 +134,11 @@
 // to be the newest as of a moment ago.
 func (h *Holder) Admit(now time.Time, confirmed bool) Reason {
 	reason := h.admit(now, confirmed)
-	if reason == Admitted {
+	switch reason {
+	case Admitted:
 		h.inUse++
 		h.window.note(now, h.inUse)
-	} else if reason == NoShare {
+	case NoShare:
 		h.wanted = max(h.wanted, h.inUse+1)
 	}
 	return reason
--- a/quota/holder_test.go
+++ b/quota/holder_test.go
@@ -220,12 +220,11 @@
 // node is one holder with the times that its requests end, and its lease.
 type node struct {
 	*quota.Holder
-	ends    []time.Time
-	lease   time.Time
-	paused  bool
-	dead    bool
-	knows   uint64
-	unknown *quota.Step
+	ends   []time.Time
+	lease  time.Time
+	paused bool
+	dead   bool
+	knows  uint64
 }
 
 const (
--- a/rollout/editor.go
+++ b/rollout/editor.go
@@ -54,7 +54,7 @@
 		return Head{}, e.conflict(ctx, e.Base, lists)
 	}
 	parts := plan.Split(lists)
-	if err := e.writeParts(ctx, current, parts); err != nil {
+	if err = e.writeParts(ctx, current, parts); err != nil {
 		return Head{}, err
 	}
 	next := nextHead(current, parts, e.Name)
