--- a/admin/admin.go
+++ b/admin/admin.go
@@ -33,6 +33,8 @@
 	Ready func() error
 	// Status returns the status, which is sent as JSON.
 	Status func() any
+	// Listen replaces net.Listen.
+	Listen func(network, address string) (net.Listener, error)
 
 	app *fiber.App
 }
@@ -44,7 +46,11 @@
 
 // Start listens.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	l, err := net.Listen("tcp", s.Address)
+	listen := s.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	l, err := listen("tcp", s.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for admin")
 	}
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -32,6 +32,7 @@
 	_paymentShare   = 5
 	_documentShare  = 2
 	_smallShare     = 20
+	_favouriteShare = 60
 	_percent        = 100
 	_highestLatency = int64(60 * time.Second / time.Microsecond)
 )
@@ -70,6 +71,9 @@
 	// bootstrap are addresses that the caller knows from its own settings.
 	bootstrap []string
 
+	// favourite returns the service that most requests ask for now, if any.
+	favourite func() string
+
 	known map[string]answered
 }
 
@@ -121,6 +125,9 @@
 // request sends one request, again if it may be sent again.
 func (c *caller) request(ctx context.Context) {
 	service := c.services[c.rng.IntN(len(c.services))]
+	if f := c.favourite(); f != "" && c.rng.IntN(_percent) < _favouriteShare {
+		service = f
+	}
 	what := c.draw()
 	started := time.Now()
 	var last seen
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -21,20 +21,25 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonlock/wigeonlock/deployment"
+	"github.com/wigeonlock/wigeonlock/deployment/loopback"
 	"github.com/wigeonlock/wigeonlock/plan"
 	"github.com/wigeonlock/wigeonlock/rollout"
+	"github.com/wigeonlock/wigeonlock/settings"
 	"github.com/wigeonlock/wigeonlock/standin"
-	storehttp "github.com/wigeonlock/wigeonlock/store/http"
 )
 
 const (
-	_readyTime    = 20 * time.Second
 	_rolloutTime  = 10 * time.Second
 	_workerLinger = 3 * time.Second
-	_callersEach  = 6
-	_usualPause   = 60 * time.Millisecond
+	_callersEach  = 40
+	_usualPause   = 400 * time.Millisecond
 	_settleTime   = 12 * time.Second
 	_blockHosts   = 200
+	_storeDelay   = 2 * time.Millisecond
+	_listLag      = 500 * time.Millisecond
+	_workersZone  = 2
+	_lookupTTLMs  = 400
+	_drainMs      = 8000
 )
 
 // Options are what a run needs.
@@ -82,9 +87,9 @@
 // run is a run under way.
 type run struct {
 	Options
-	cluster    *cluster
+	cluster    *loopback.Cluster
+	occupancy  *occupancy
 	tally      *tally
-	editor     *rollout.Editor
 	caps       []capChange
 	rolloutMax time.Duration
 	// crowded is the index of the region with the month-end load, or -1.
@@ -94,7 +99,20 @@
 
 // Run runs a deployment and ends by itself.
 func Run(ctx context.Context, o Options) (Report, error) {
-	r := &run{Options: o, cluster: newCluster(o.Deployment, o.Log), tally: newTally()}
+	r := &run{Options: o, occupancy: newOccupancy(o.Deployment), tally: newTally()}
+	r.cluster = &loopback.Cluster{
+		Deployment: o.Deployment, WorkersPerZone: _workersZone, StoreDelay: _storeDelay, ListLag: _listLag, Log: o.Log,
+		Arrived: r.occupancy.arrive,
+		Adjust: func(s *settings.Settings) {
+			s.LookupTTLMs = _lookupTTLMs
+			s.DrainMs = _drainMs
+		},
+	}
+	for _, z := range o.Deployment.Zones() {
+		for _, svc := range o.Deployment.Services {
+			r.occupancy.addSlots(z.Region, svc.Name, _workersZone*svc.Slots)
+		}
+	}
 	r.crowded.Store(-1)
 	if o.Progress == nil {
 		r.Progress = func(string) {}
@@ -104,7 +122,7 @@
 	}
 	r.play(ctx)
 	r.Progress("stopping all entry instances")
-	if err := r.cluster.stop(); err != nil {
+	if err := r.cluster.Stop(); err != nil {
 		return Report{}, err
 	}
 	if r.err != nil {
@@ -114,19 +132,9 @@
 }
 
 func (r *run) prepare(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, _readyTime)
-	defer cancel()
-	r.Progress("starting the platform and the workers")
-	if err := r.cluster.startPlatform(); err != nil {
-		return err
-	}
-	r.editor = &rollout.Editor{Store: storehttp.New(r.cluster.platform.URL()), Name: "demo"}
-	if _, err := r.editor.Apply(ctx, r.Deployment.Lists); err != nil {
-		return errors.Wrap(err, "apply lists")
-	}
+	r.Progress("starting the platform, the workers and the entry instances")
 	r.caps = append(r.caps, capChange{time.Now(), r.Deployment.Lists})
-	r.Progress("starting the entry instances")
-	return r.cluster.startNodes(ctx)
+	return r.cluster.Start(ctx)
 }
 
 // play sends requests for Length while the events happen.
@@ -155,7 +163,7 @@
 		services[i] = svc.Name
 	}
 	var bootstrap []string
-	for _, n := range r.cluster.nodes {
+	for _, n := range r.cluster.Nodes {
 		bootstrap = append(bootstrap, n.Settings.Callers.Listen)
 	}
 	seed := r.Seed
@@ -164,12 +172,23 @@
 			for i := range _callersEach {
 				seed++
 				caller := newCaller(c.Name, sourceIn(c.Blocks[0], i), services, bootstrap, seed, r.tally)
+				caller.favourite = func() string {
+					if int(r.crowded.Load()) == region {
+						return r.crowdedService()
+					}
+					return ""
+				}
 				group.Go(func() { caller.run(ctx, func() time.Duration { return r.pause(region) }) })
 			}
 		}
 	}
 }
 
+// crowdedService is the service that most of the month-end load asks for.
+func (r *run) crowdedService() string {
+	return r.Deployment.Services[1].Name
+}
+
 // pause is the mean time between a caller's requests: a tenth in the region
 // with the month-end load.
 func (r *run) pause(region int) time.Duration {
@@ -189,7 +208,7 @@
 
 func (r *run) events() []event {
 	zones := r.Deployment.Zones()
-	stopped, killed := r.node(zones[0].Name), r.node(zones[2].Name)
+	stopped, killed := r.cluster.NodeIn(zones[0].Name), r.cluster.NodeIn(zones[2].Name)
 	return []event{
 		{0.10, "a worker begins to leave", r.leaveWorker},
 		{0.15, "the lists are edited: the first plan may shift more", func(ctx context.Context) { r.edit(ctx, 3, 2) }},
@@ -197,30 +216,21 @@
 		{0.40, "the month-end load ends", func(context.Context) { r.crowded.Store(-1) }},
 		{0.45, "entry instance " + stopped.Settings.Instance + " stops gracefully", func(context.Context) {
 			r.tally.plan(stopped.Settings.Callers.Listen, time.Now())
-			stopped.cancel()
+			stopped.Leave()
 		}},
 		{0.55, "the store goes down", func(context.Context) {
-			r.cluster.platform.Behave(standin.Behaviour{Mode: standin.Down})
+			r.cluster.Platform.Behave(standin.Behaviour{Mode: standin.Down})
 		}},
 		{0.65, "the store is back", func(context.Context) {
-			r.cluster.platform.Behave(standin.Behaviour{Mode: standin.OK})
+			r.cluster.Platform.Behave(standin.Behaviour{Mode: standin.OK})
 		}},
-		{0.75, "entry instance " + killed.Settings.Instance + " is killed", func(context.Context) { killed.kill() }},
+		{0.75, "entry instance " + killed.Settings.Instance + " is killed", func(context.Context) { killed.Kill() }},
 		{0.85, "the lists are edited: the first plan may shift less", func(ctx context.Context) { r.edit(ctx, 1, 2) }},
 	}
 }
 
-func (r *run) node(zone string) *node {
-	for _, n := range r.cluster.nodes {
-		if n.Settings.Zone == zone {
-			return n
-		}
-	}
-	return r.cluster.nodes[0]
-}
-
 func (r *run) leaveWorker(ctx context.Context) {
-	w := r.cluster.workers[0]
+	w := r.cluster.Workers[0]
 	if err := w.Leave(ctx, min(_workerLinger, r.Length/2)); err != nil && r.err == nil {
 		r.err = errors.Wrap(err, "worker left")
 	}
@@ -234,27 +244,21 @@
 	lists := plan.Lists{Plans: append([]plan.Plan(nil), r.Deployment.Lists.Plans...)}
 	lists.Allowances = r.Deployment.Lists.Allowances
 	lists.Plans[0].ShiftSlots = lists.Plans[0].ShiftSlots * numerator / denominator
-	head, err := r.editor.Apply(ctx, lists)
+	head, err := r.cluster.Editor().Apply(ctx, lists)
 	if err != nil {
 		r.err = errors.Wrap(err, "edit lists")
 		return
 	}
 	accepted := time.Now()
 	r.caps = append(r.caps, capChange{accepted, lists})
-	for _, n := range r.cluster.live() {
-		for n.Lists() < head.Version {
-			select {
-			case <-n.gone:
-			case <-ctx.Done():
-				r.err = errors.Errorf("version %d is not in force on %s", head.Version, n.Settings.Instance)
-				return
-			case <-time.After(_pollTime):
-				continue
-			}
-			break
-		}
+	after, err := r.cluster.WaitVersion(ctx, head.Version)
+	if err != nil {
+		r.err = err
+		return
+	}
+	for _, d := range after {
+		r.rolloutMax = max(r.rolloutMax, d)
 	}
-	r.rolloutMax = max(r.rolloutMax, time.Since(accepted))
 }
 
 func (r *run) report() Report {
@@ -263,7 +267,7 @@
 		highest = 99
 		perMs   = 1000.0
 	)
-	o := newObserver(r.cluster, r.caps, rollout.ConfirmWindow+_settleTime)
+	o := newObserver(r.cluster, r.occupancy, r.caps, rollout.ConfirmWindow+_settleTime)
 	t := r.tally
 	return Report{
 		Deployment: r.Deployment.Name, Requests: t.requests,
@@ -271,7 +275,7 @@
 		Failed:    t.outcomes["failed"],
 		Truncated: t.truncated, Misdelivered: t.misdelivered,
 		FalseNotRun: o.falseNotRun(t.told), DuplicatePayments: o.duplicatePayments(), CapBreaches: o.capBreaches(),
-		OverloadedMoves: r.cluster.occupancy.overloaded, MovedRequests: r.cluster.occupancy.moved,
+		OverloadedMoves: r.occupancy.overloaded, MovedRequests: r.occupancy.moved,
 		CutOffByPlannedStop: t.cutOff, CallerRetries: t.retries, RolloutMaxMs: r.rolloutMax.Milliseconds(),
 		P50Ms: float64(t.latency.ValueAtPercentile(half)) / perMs, P99Ms: float64(t.latency.ValueAtPercentile(highest)) / perMs,
 		Reasons: t.reasons,
--- a/demo/observer.go
+++ b/demo/observer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonlock/wigeonlock/deployment"
+	"github.com/wigeonlock/wigeonlock/deployment/loopback"
 	"github.com/wigeonlock/wigeonlock/plan"
 	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/standin"
@@ -71,7 +72,8 @@
 
 // observer judges a run by the workers' own records and what callers saw.
 type observer struct {
-	cluster *cluster
+	lists   plan.Lists
+	homes   map[string]string
 	runs    []standin.Run
 	regions []string
 	caps    []capChange
@@ -79,9 +81,9 @@
 	window time.Duration
 }
 
-func newObserver(c *cluster, caps []capChange, window time.Duration) *observer {
-	o := &observer{cluster: c, caps: caps, window: window}
-	for _, w := range c.workers {
+func newObserver(c *loopback.Cluster, oc *occupancy, caps []capChange, window time.Duration) *observer {
+	o := &observer{lists: c.Deployment.Lists, homes: oc.homes, caps: caps, window: window}
+	for _, w := range c.Workers {
 		for _, r := range w.Runs() {
 			o.runs = append(o.runs, r)
 			o.regions = append(o.regions, w.Region)
@@ -122,7 +124,7 @@
 // the home regions of its customers than any cap in force within the window.
 func (o *observer) capBreaches() int {
 	planOf := make(map[string]string)
-	for _, p := range o.cluster.deployment.Lists.Plans {
+	for _, p := range o.lists.Plans {
 		for _, c := range p.Customers {
 			planOf[c.Name] = p.Name
 		}
@@ -134,7 +136,7 @@
 	}
 	var edges []edge
 	for i, r := range o.runs {
-		if o.cluster.occupancy.homes[r.Customer] == o.regions[i] || r.End.IsZero() {
+		if o.homes[r.Customer] == o.regions[i] || r.End.IsZero() {
 			continue
 		}
 		edges = append(edges, edge{r.Start, planOf[r.Customer], 1}, edge{r.End, planOf[r.Customer], -1})
--- /dev/null
+++ b/deployment/loopback/loopback.go
@@ -0,0 +1,287 @@
+// Package loopback runs a deployment over loopback sockets in this process:
+// the stand-ins of the platform and of the workers, and real entry instances.
+//
+// It serves the demo, the measurements and the tests.
+//
+// # Usage
+//
+//	c := &loopback.Cluster{Deployment: d, WorkersPerZone: 2, Log: log}
+//	err := c.Start(ctx)
+//	defer c.Stop()
+//	address := c.Nodes[0].Settings.Callers.Listen
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/deployment"
+	"github.com/wigeonlock/wigeonlock/instance"
+	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/platform"
+	platformhttp "github.com/wigeonlock/wigeonlock/platform/http"
+	"github.com/wigeonlock/wigeonlock/rollout"
+	"github.com/wigeonlock/wigeonlock/settings"
+	"github.com/wigeonlock/wigeonlock/standin"
+	storehttp "github.com/wigeonlock/wigeonlock/store/http"
+)
+
+const (
+	_anyPort   = "127.0.0.1:0"
+	_pollTime  = 5 * time.Millisecond
+	_readyTime = 20 * time.Second
+)
+
+// Cluster is a deployment in this process. The exported fields down to Log
+// are set before Start.
+type Cluster struct {
+	Deployment deployment.Deployment
+	// WorkersPerZone is the number of workers of each service in each zone.
+	WorkersPerZone int
+	// StoreDelay is added to each call of the store.
+	StoreDelay time.Duration
+	// ListLag is the age of the platform's list of instances.
+	ListLag time.Duration
+	// Adjust, if set, changes the settings of each instance.
+	Adjust func(*settings.Settings)
+	// Arrived, if set, observes what arrives at the workers.
+	Arrived func(region, service, customer string) (ended func())
+	Log     *zap.Logger
+
+	Platform *standin.Platform
+	Workers  []*standin.Worker
+	Nodes    []*Node
+
+	tasks conc.WaitGroup
+}
+
+// Node is an entry instance of a cluster.
+type Node struct {
+	*instance.Instance
+
+	listeners *listeners
+	cancel    context.CancelFunc
+	gone      chan struct{}
+	err       error
+}
+
+// Start starts the platform, the workers and the entry instances, applies the
+// deployment's lists, and waits until all instances are ready and see each other.
+func (c *Cluster) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, _readyTime)
+	defer cancel()
+	c.Platform = &standin.Platform{ListLag: c.ListLag, Delay: c.StoreDelay}
+	if err := c.Platform.Listen(_anyPort); err != nil {
+		return errors.Wrap(err, "start platform")
+	}
+	if err := c.startWorkers(); err != nil {
+		return err
+	}
+	if _, err := c.Editor().Apply(ctx, c.Deployment.Lists); err != nil {
+		return errors.Wrap(err, "apply lists")
+	}
+	for _, z := range c.Deployment.Zones() {
+		for i := range c.Deployment.Instances[z.Name] {
+			if _, err := c.StartNode(fmt.Sprintf("%s-%d", z.Name, i+1), z); err != nil {
+				return err
+			}
+		}
+	}
+	return c.WaitReady(ctx)
+}
+
+// Editor returns an editor of the cluster's lists.
+func (c *Cluster) Editor() *rollout.Editor {
+	return &rollout.Editor{Store: storehttp.New(c.Platform.URL()), Name: "loopback"}
+}
+
+func (c *Cluster) startWorkers() error {
+	directory := &platformhttp.Directory{URL: c.Platform.URL()}
+	for _, z := range c.Deployment.Zones() {
+		for _, svc := range c.Deployment.Services {
+			for i := range c.WorkersPerZone {
+				if err := c.startWorker(directory, z, svc, i); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startWorker(d platform.Directory, z deployment.Zone, svc deployment.Service, i int) error {
+	w := &standin.Worker{
+		Name:   fmt.Sprintf("%s-%s-%d", z.Name, svc.Name, i+1),
+		Region: z.Region, Zone: z.Name, Service: svc.Name, Slots: svc.Slots, Work: svc.Work,
+		Directory: d,
+	}
+	if c.Arrived != nil {
+		w.Arrived = func(customer string) func() { return c.Arrived(z.Region, svc.Name, customer) }
+	}
+	if err := w.Listen(_anyPort); err != nil {
+		return errors.Wrapf(err, "start worker %q", w.Name)
+	}
+	c.Workers = append(c.Workers, w)
+	return nil
+}
+
+// StartNode starts one more entry instance.
+func (c *Cluster) StartNode(name string, z deployment.Zone) (*Node, error) {
+	s := c.Deployment.SettingsFor(name, z)
+	s.Platform.URL = c.Platform.URL()
+	if c.Adjust != nil {
+		c.Adjust(s)
+	}
+	l := newListeners()
+	for _, address := range []*settings.Listener{&s.Callers, &s.Peers, &s.Admin} {
+		if err := l.reserve(address); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		Instance:  instance.New(s, instance.Options{Log: c.Log, Listen: l.take, Seed: uint64(len(c.Nodes))}),
+		listeners: l, cancel: cancel, gone: make(chan struct{}),
+	}
+	c.Nodes = append(c.Nodes, n)
+	c.tasks.Go(func() {
+		defer close(n.gone)
+		n.err = n.Run(ctx)
+	})
+	return n, nil
+}
+
+// WaitReady waits until all instances that run are ready and see each other.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	live := c.Live()
+	for _, n := range live {
+		for n.Ready() != nil || !n.Sees(len(live)) {
+			select {
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "instance %q did not get ready", n.Settings.Instance)
+			case <-n.gone:
+				return errors.Wrapf(n.err, "instance %q ended", n.Settings.Instance)
+			case <-time.After(_pollTime):
+			}
+		}
+	}
+	return nil
+}
+
+// WaitVersion waits until all instances that run have a version of the lists
+// in force, and returns the time of each.
+func (c *Cluster) WaitVersion(ctx context.Context, version uint64) (map[string]time.Duration, error) {
+	started := time.Now()
+	after := make(map[string]time.Duration)
+	for {
+		open := 0
+		for _, n := range c.Live() {
+			if _, done := after[n.Settings.Instance]; done {
+				continue
+			}
+			if n.Lists() >= version {
+				after[n.Settings.Instance] = time.Since(started)
+				continue
+			}
+			open++
+		}
+		if open == 0 {
+			return after, nil
+		}
+		select {
+		case <-ctx.Done():
+			return after, errors.Wrapf(ctx.Err(), "version %d is not in force on %d instances", version, open)
+		case <-time.After(_pollTime / 5):
+		}
+	}
+}
+
+// Live returns the instances that have not ended.
+func (c *Cluster) Live() []*Node {
+	var live []*Node
+	for _, n := range c.Nodes {
+		select {
+		case <-n.gone:
+		default:
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// NodeIn returns the first instance of a zone.
+func (c *Cluster) NodeIn(zone string) *Node {
+	for _, n := range c.Nodes {
+		if n.Settings.Zone == zone {
+			return n
+		}
+	}
+	return nil
+}
+
+// WorkersOf returns the workers of a service in a zone.
+func (c *Cluster) WorkersOf(zone, service string) []*standin.Worker {
+	var list []*standin.Worker
+	for _, w := range c.Workers {
+		if w.Zone == zone && w.Service == service {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// Stop ends everything, the instances gracefully.
+func (c *Cluster) Stop() error {
+	for _, n := range c.Nodes {
+		n.cancel()
+	}
+	c.tasks.Wait()
+	for _, w := range c.Workers {
+		_ = w.Close()
+	}
+	_ = c.Platform.Close()
+	for _, n := range c.Nodes {
+		if n.err != nil && !errors.Is(n.err, kernel.ErrAborted) {
+			return errors.Wrapf(n.err, "instance %q", n.Settings.Instance)
+		}
+	}
+	return nil
+}
+
+// Abandon ends everything at once.
+func (c *Cluster) Abandon() {
+	for _, n := range c.Nodes {
+		n.Kill()
+	}
+	c.tasks.Wait()
+	for _, w := range c.Workers {
+		_ = w.Close()
+	}
+	_ = c.Platform.Close()
+}
+
+// Leave makes the instance stop gracefully.
+func (n *Node) Leave() {
+	n.cancel()
+}
+
+// Gone is closed once the instance has ended.
+func (n *Node) Gone() <-chan struct{} {
+	return n.gone
+}
+
+// Err returns the result of an instance that has ended.
+func (n *Node) Err() error {
+	return n.err
+}
+
+// Kill ends the instance as a crash would: its connections break at once.
+func (n *Node) Kill() {
+	n.Abort()
+	n.listeners.kill()
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -98,7 +98,7 @@
 	front.Version = i.Lists
 	i.kernel = &kernel.Kernel{
 		Services: []kernel.Service{
-			&admin.Service{Address: s.Admin.Listen, Ready: i.Ready, Status: i.status},
+			&admin.Service{Address: s.Admin.Listen, Ready: i.Ready, Status: i.status, Listen: o.Listen},
 			keeper, follower, payments, admitter, peers, members, dispatcher, lookups, front,
 			&departure{settings: s, members: members, keeper: keeper, front: front, log: log},
 		},
