--- /dev/null
+++ b/backend/pool_test.go
@@ -0,0 +1,222 @@
+package backend_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/backend"
+)
+
+var _start = time.Unix(1000, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }
+
+func workers(n, slots int) []backend.Worker {
+	list := make([]backend.Worker, n)
+	for i := range list {
+		list[i] = backend.Worker{Name: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("a%d", i), Slots: slots}
+	}
+	return list
+}
+
+func newPool(n, slots int) *backend.Pool {
+	p := &backend.Pool{Service: "katalog"}
+	p.Listed(_start, workers(n, slots))
+	return p
+}
+
+// take picks until nothing is left and returns the picks by worker.
+func take(p *backend.Pool, now time.Time) map[string]int {
+	rng := newRand()
+	picks := make(map[string]int)
+	for {
+		w, ok := p.Pick(now, rng, backend.Limits{})
+		if !ok {
+			return picks
+		}
+		picks[w.Name]++
+	}
+}
+
+func TestSlotsAreNotExceeded(t *testing.T) {
+	picks := take(newPool(4, 5), _start)
+	assert.Equal(t, map[string]int{"w0": 5, "w1": 5, "w2": 5, "w3": 5}, picks)
+}
+
+func TestPickPrefersFreeWorkers(t *testing.T) {
+	p := newPool(4, 100)
+	rng := newRand()
+	most := 0
+	picks := make(map[string]int)
+	for range 200 {
+		w, ok := p.Pick(_start, rng, backend.Limits{})
+		require.True(t, ok)
+		picks[w.Name]++
+		most = max(most, picks[w.Name])
+	}
+	assert.LessOrEqual(t, most, 55, "two choices keep the workers even")
+}
+
+// A report shows what other instances have in flight, and counts for less as
+// it ages.
+func TestReportedBusyAges(t *testing.T) {
+	p := newPool(1, 10)
+	p.Reported(_start, "w0", 8, false)
+	assert.Equal(t, 2, p.Free(_start))
+	assert.Equal(t, 6, p.Free(_start.Add(backend.ReportTrust/2)))
+	assert.Equal(t, 10, p.Free(_start.Add(backend.ReportTrust)))
+}
+
+// A worker that always reports itself idle gets no more than its slots; one
+// that always reports itself full is not lost for good when it answers.
+func TestLyingReports(t *testing.T) {
+	p := newPool(2, 5)
+	rng := newRand()
+	for range 10 {
+		p.Reported(_start, "w0", 0, false)
+		p.Pick(_start, rng, backend.Limits{})
+	}
+	_, ok := p.Pick(_start, rng, backend.Limits{})
+	assert.False(t, ok)
+
+	q := newPool(1, 5)
+	q.Reported(_start, "w0", 99, false)
+	assert.Zero(t, q.Free(_start))
+	assert.Positive(t, q.Free(_start.Add(backend.ReportTrust)))
+}
+
+// Without reports, instances that share the workers keep to their parts.
+func TestSharedWithoutReports(t *testing.T) {
+	p := newPool(4, 5)
+	p.Instances = 2
+	total := 0
+	for _, n := range take(p, _start) {
+		total += n
+	}
+	assert.Equal(t, 12, total, "three of five slots of each worker")
+}
+
+func TestDrainingGetsNothing(t *testing.T) {
+	signals := map[string]func(p *backend.Pool, now time.Time){
+		"list": func(p *backend.Pool, now time.Time) {
+			list := workers(2, 5)
+			list[0].Leaving = true
+			p.Listed(now, list)
+		},
+		"gone from list": func(p *backend.Pool, now time.Time) { p.Listed(now, workers(2, 5)[1:]) },
+		"answer":         func(p *backend.Pool, _ time.Time) { p.Drains("w0") },
+		"report":         func(p *backend.Pool, now time.Time) { p.Reported(now, "w0", 0, true) },
+	}
+	for name, signal := range signals {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(2, 5)
+			signal(p, _start)
+			assert.Equal(t, map[string]int{"w1": 5}, take(p, _start))
+		})
+	}
+}
+
+// The lagging list does not revive a worker that said itself that it drains.
+func TestLaggingListDoesNotReviveDraining(t *testing.T) {
+	p := newPool(2, 5)
+	p.Drains("w0")
+	p.Listed(_start.Add(time.Second), workers(2, 5))
+	assert.Equal(t, map[string]int{"w1": 5}, take(p, _start.Add(time.Second)))
+}
+
+func TestNewWorkerIsRamped(t *testing.T) {
+	p := newPool(1, 8)
+	now := _start.Add(time.Minute)
+	p.Listed(now, workers(2, 8))
+	assert.Equal(t, 2, take(p, now)["w1"])
+	assert.Equal(t, 6, take(p, now.Add(backend.RampTime))["w1"], "the rest of its slots")
+}
+
+func TestOutlierIsEjectedAndReturns(t *testing.T) {
+	p := newPool(6, 5)
+	rng := newRand()
+	now := _start
+	fail := func() {
+		for range 2000 {
+			w, ok := p.Pick(now, rng, backend.Limits{})
+			require.True(t, ok)
+			result := backend.Answered
+			if w.Name == "w0" {
+				result = backend.Errored
+			}
+			p.Done(now, w.Name, result, time.Millisecond)
+		}
+	}
+	fail()
+	assert.Zero(t, take(p, now)["w0"])
+	assert.Positive(t, take(p, now.Add(backend.EjectBase))["w0"])
+}
+
+// However many fail, at most a third is ejected.
+func TestEjectionIsBounded(t *testing.T) {
+	p := newPool(6, 5)
+	for i := range 6 {
+		for range backend.EjectAfter {
+			p.Done(_start, fmt.Sprintf("w%d", i), backend.Errored, time.Millisecond)
+		}
+	}
+	assert.Len(t, take(p, _start), 4)
+}
+
+// A worker that answers errors at once looks idle, but gets little.
+func TestFastErrorsDoNotAttract(t *testing.T) {
+	p := newPool(3, 5)
+	rng := newRand()
+	now := _start
+	picks := make(map[string]int)
+	type open struct {
+		name string
+		end  time.Time
+	}
+	var inFlight []open
+	for range 3000 {
+		now = now.Add(2 * time.Millisecond)
+		kept := inFlight[:0]
+		for _, o := range inFlight {
+			if o.end.After(now) {
+				kept = append(kept, o)
+				continue
+			}
+			p.Done(now, o.name, backend.Answered, 20*time.Millisecond)
+		}
+		inFlight = kept
+		w, ok := p.Pick(now, rng, backend.Limits{})
+		if !ok {
+			continue
+		}
+		picks[w.Name]++
+		if w.Name == "w0" {
+			p.Done(now, w.Name, backend.Errored, 0)
+			continue
+		}
+		inFlight = append(inFlight, open{w.Name, now.Add(20 * time.Millisecond)})
+	}
+	total := picks["w0"] + picks["w1"] + picks["w2"]
+	assert.Less(t, picks["w0"], total/20)
+}
+
+func TestRefusalMarksFull(t *testing.T) {
+	p := newPool(1, 5)
+	w, ok := p.Pick(_start, newRand(), backend.Limits{})
+	require.True(t, ok)
+	p.Done(_start, w.Name, backend.Refused, 0)
+	assert.Zero(t, p.Free(_start))
+	assert.Positive(t, p.Free(_start.Add(backend.ReportTrust)))
+}
+
+func TestExcludeTried(t *testing.T) {
+	p := newPool(2, 5)
+	w, ok := p.Pick(_start, newRand(), backend.Limits{Exclude: []string{"w0"}})
+	require.True(t, ok)
+	assert.Equal(t, "w1", w.Name)
+}
--- /dev/null
+++ b/lookup/lookup_test.go
@@ -0,0 +1,80 @@
+package lookup_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/lookup"
+	"github.com/wigeonlock/wigeonlock/plan"
+)
+
+func book() *plan.Book {
+	return plan.NewBook(plan.Lists{Plans: []plan.Plan{{Name: "handel", Customers: []plan.Customer{
+		{Name: "wide", HomeRegion: "alpen", Blocks: []string{"10.0.0.0/8", "2001:db8::/32"}},
+		{Name: "narrow", HomeRegion: "nord", Blocks: []string{"10.1.0.0/16"}},
+	}}}})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table := lookup.NewTable(book())
+	for addr, want := range map[string]lookup.Site{
+		"10.2.3.4": "alpen", "10.1.3.4": "nord", "::ffff:10.1.3.4": "nord", "2001:db8::1": "alpen", "192.0.2.1": "",
+	} {
+		site, _ := table.Find(netip.MustParseAddr(addr))
+		assert.Equal(t, want, site, addr)
+	}
+}
+
+func TestWithLeavesTableUnchanged(t *testing.T) {
+	table := lookup.NewTable(book())
+	next := table.With(netip.MustParsePrefix("10.1.0.0/16"), "west")
+	addr := netip.MustParseAddr("10.1.3.4")
+	before, _ := table.Find(addr)
+	after, _ := next.Find(addr)
+	assert.Equal(t, lookup.Site("nord"), before)
+	assert.Equal(t, lookup.Site("west"), after)
+}
+
+func entries(n int) []lookup.Entry {
+	list := make([]lookup.Entry, n)
+	for i := range list {
+		list[i] = lookup.Entry{Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), Zone: "z", Weight: 100}
+	}
+	return list
+}
+
+// Answers spread evenly, and when one instance leaves, only answers change
+// that named it.
+func TestAnswersAreStable(t *testing.T) {
+	const n, blocks = 60, 20_000
+	all := entries(n)
+	before := lookup.NewFleet(map[lookup.Site][]lookup.Entry{"alpen": all})
+	after := lookup.NewFleet(map[lookup.Site][]lookup.Entry{"alpen": all[1:]})
+	gone := all[0].Address
+	first := make(map[string]int)
+	moved := 0
+	for b := range uint64(blocks) {
+		old, now := before.Answer("alpen", b), after.Answer("alpen", b)
+		require.Len(t, old, lookup.AnswerSize)
+		first[old[0].Address]++
+		if old[0].Address == now[0].Address {
+			continue
+		}
+		moved++
+		assert.Equal(t, gone, old[0].Address)
+	}
+	assert.InDelta(t, 1.0/n, float64(moved)/blocks, 0.01)
+	for _, e := range all {
+		assert.InDelta(t, blocks/n, first[e.Address], blocks/n, e.Address)
+	}
+}
+
+func TestAnswerOfUnknownSite(t *testing.T) {
+	f := lookup.NewFleet(map[lookup.Site][]lookup.Entry{"alpen": nil})
+	assert.Empty(t, f.Answer("alpen", 1))
+	assert.Empty(t, f.Answer("", 1))
+}
--- /dev/null
+++ b/payment/shard_test.go
@@ -0,0 +1,224 @@
+package payment_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonlock/wigeonlock/payment"
+)
+
+var _now = time.Unix(1_700_000_000, 0)
+
+// register is the store's entry of one shard.
+type register struct {
+	value   []byte
+	version uint64
+}
+
+func (r *register) swap(value []byte, expected uint64) (uint64, bool) {
+	if r.version != expected {
+		return 0, false
+	}
+	r.version++
+	r.value = value
+	return r.version, true
+}
+
+// drive runs steps until the shard is idle.
+func drive(t require.TestingT, s *payment.Shard, r *register) {
+	for range 100 {
+		step, err := s.Next(_now)
+		require.NoError(t, err)
+		switch step.Kind {
+		case payment.Idle:
+			return
+		case payment.Read:
+			require.NoError(t, s.ReadDone(r.value, r.version))
+		case payment.Swap:
+			v, ok := r.swap(step.Value, step.Expected)
+			s.SwapDone(step.Value, v, ok)
+		}
+	}
+	require.Fail(t, "shard does not come to rest")
+}
+
+func claim(t require.TestingT, s *payment.Shard, r *register, key payment.Key, attempt string) payment.Verdict {
+	var got payment.Verdict
+	s.Claim(key, attempt, func(v payment.Verdict) { got = v })
+	drive(t, s, r)
+	return got
+}
+
+func TestSecondClaimIsDuplicate(t *testing.T) {
+	var store register
+	var a, b payment.Shard
+	require.Equal(t, payment.Granted, claim(t, &a, &store, "k", "one").Kind)
+	got := claim(t, &b, &store, "k", "two")
+	assert.Equal(t, payment.Duplicate, got.Kind)
+	assert.Equal(t, payment.Claimed, got.Claim.State)
+
+	a.Finish("k", "one", payment.Outcome{Status: 200, Answer: []byte("paid"), Kept: true}, nil)
+	drive(t, &a, &store)
+	got = claim(t, &b, &store, "k", "three")
+	assert.Equal(t, payment.Duplicate, got.Kind)
+	assert.Equal(t, payment.Finished, got.Claim.State)
+	assert.Equal(t, "paid", string(got.Claim.Answer))
+}
+
+func TestReleasedKeyCanBeClaimed(t *testing.T) {
+	var store register
+	var a, b payment.Shard
+	require.Equal(t, payment.Granted, claim(t, &a, &store, "k", "one").Kind)
+	a.Release("k", "one", nil)
+	drive(t, &a, &store)
+	assert.Equal(t, payment.Granted, claim(t, &b, &store, "k", "two").Kind)
+	a.Release("k", "one", nil) // a late repetition changes nothing
+	drive(t, &a, &store)
+	assert.Equal(t, payment.Duplicate, claim(t, &a, &store, "k", "three").Kind)
+}
+
+// A claim whose swap took effect though its reply was lost is recognised.
+func TestLostReplyIsReadBack(t *testing.T) {
+	var store register
+	var s payment.Shard
+	var got payment.Verdict
+	s.Claim("k", "one", func(v payment.Verdict) { got = v })
+	step, err := s.Next(_now)
+	require.NoError(t, err)
+	require.Equal(t, payment.Read, step.Kind)
+	require.NoError(t, s.ReadDone(store.value, store.version))
+	step, err = s.Next(_now)
+	require.NoError(t, err)
+	store.swap(step.Value, step.Expected)
+	s.SwapDone(step.Value, 0, false)
+	assert.Empty(t, got.Kind, "nothing is certain yet")
+	drive(t, &s, &store)
+	assert.Equal(t, payment.Granted, got.Kind)
+}
+
+func TestClaimsAreWrittenTogether(t *testing.T) {
+	var store register
+	var s payment.Shard
+	granted := 0
+	for i := range 100 {
+		s.Claim(payment.Key(fmt.Sprint(i)), "one", func(v payment.Verdict) {
+			if v.Kind == payment.Granted {
+				granted++
+			}
+		})
+	}
+	drive(t, &s, &store)
+	assert.Equal(t, 100, granted)
+	assert.Equal(t, uint64(1), store.version)
+}
+
+func TestRetention(t *testing.T) {
+	var store register
+	var s payment.Shard
+	require.Equal(t, payment.Granted, claim(t, &s, &store, "k", "one").Kind)
+	record, err := payment.DecodeRecord(store.value)
+	require.NoError(t, err)
+	kept, err := record.Encode(_now.Add(payment.Retention - time.Second))
+	require.NoError(t, err)
+	assert.Contains(t, string(kept), "one")
+	dropped, err := record.Encode(_now.Add(payment.Retention + time.Second))
+	require.NoError(t, err)
+	assert.NotContains(t, string(dropped), "one")
+}
+
+// A full shard takes no more claims, and forgets none.
+func TestFullShardRefuses(t *testing.T) {
+	var store register
+	var s payment.Shard
+	kinds := make(map[payment.VerdictKind]int)
+	for i := 0; kinds[payment.Full] == 0; i++ {
+		for j := range 500 {
+			s.Claim(payment.NewKey("c", "s", fmt.Sprint(i, j)), "attempt", func(v payment.Verdict) { kinds[v.Kind]++ })
+		}
+		drive(t, &s, &store)
+		require.Less(t, i, 100)
+	}
+	assert.Equal(t, payment.Duplicate, claim(t, &s, &store, payment.NewKey("c", "s", fmt.Sprint(0, 0)), "other").Kind)
+}
+
+// TestAtMostOnce drives several instances through lost, dropped and delayed
+// swaps and crashes. Invariant atMostOnce: of all attempts on a key, at most
+// one is granted without having been released.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var store register
+		shards := make([]*payment.Shard, 3)
+		for i := range shards {
+			shards[i] = &payment.Shard{}
+		}
+		type swap struct {
+			value    []byte
+			expected uint64
+		}
+		var delayed []swap
+		holders := make(map[payment.Key]map[string]bool)
+		attempts := 0
+		steps := rapid.IntRange(20, 150).Draw(t, "steps")
+		for range steps {
+			i := rapid.IntRange(0, len(shards)-1).Draw(t, "instance")
+			s := shards[i]
+			key := payment.Key(rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"))
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1:
+				attempts++
+				attempt := fmt.Sprint(attempts)
+				s.Claim(key, attempt, func(v payment.Verdict) {
+					if v.Kind != payment.Granted {
+						return
+					}
+					if holders[key] == nil {
+						holders[key] = make(map[string]bool)
+					}
+					holders[key][attempt] = true
+					if len(holders[key]) > 1 {
+						t.Fatalf("atMostOnce: attempts %v hold key %s", holders[key], key)
+					}
+				})
+			case 2:
+				for attempt := range holders[key] { // it was not run: the holder gives back
+					delete(holders[key], attempt)
+					s.Release(key, attempt, nil)
+				}
+			case 3:
+				shards[i] = &payment.Shard{} // a crash: what was pending is gone
+			case 4:
+				if len(delayed) > 0 {
+					store.swap(delayed[0].value, delayed[0].expected)
+					delayed = delayed[1:]
+				}
+			default:
+				step, err := s.Next(_now)
+				require.NoError(t, err)
+				switch step.Kind {
+				case payment.Idle:
+				case payment.Read:
+					require.NoError(t, s.ReadDone(store.value, store.version))
+				case payment.Swap:
+					switch rapid.SampledFrom([]string{"ok", "ok", "lost", "dropped", "delayed"}).Draw(t, "fault") {
+					case "ok":
+						v, ok := store.swap(step.Value, step.Expected)
+						s.SwapDone(step.Value, v, ok)
+					case "lost":
+						store.swap(step.Value, step.Expected)
+						s.SwapDone(step.Value, 0, false)
+					case "dropped":
+						s.SwapDone(step.Value, 0, false)
+					case "delayed":
+						delayed = append(delayed, swap{step.Value, step.Expected})
+						s.SwapDone(step.Value, 0, false)
+					}
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/steer/steer_test.go
@@ -0,0 +1,125 @@
+package steer_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/steer"
+)
+
+var _now = time.Unix(1000, 0)
+
+func newSteer() *steer.Steer {
+	return &steer.Steer{
+		Zone: "alpen-a", Region: "alpen",
+		Routes: []steer.Route{
+			{Zone: "alpen-b", Region: "alpen", OneWay: 5 * time.Millisecond},
+			{Zone: "nord-a", Region: "nord", OneWay: 35 * time.Millisecond},
+			{Zone: "nord-b", Region: "nord", OneWay: 35 * time.Millisecond},
+		},
+	}
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(5, 6)) }
+
+func views(headroom map[string]int) func(zone, service string) steer.View {
+	return func(zone, _ string) steer.View {
+		n, ok := headroom[zone]
+		return steer.View{Headroom: n, Stale: 6 * time.Second, Known: ok}
+	}
+}
+
+func zones(routes []steer.Route) []string {
+	names := []string{}
+	for _, r := range routes {
+		names = append(names, r.Zone)
+	}
+	return names
+}
+
+var _atHome = steer.Request{Service: "katalog", Home: "alpen", Shift: true}
+
+func TestOwnRegionFirst(t *testing.T) {
+	s := newSteer()
+	got := s.Choose(_now, newRand(), _atHome, views(map[string]int{"alpen-b": 5, "nord-a": 50, "nord-b": 50}))
+	require.Len(t, got, 3)
+	assert.Equal(t, "alpen-b", got[0].Zone)
+}
+
+func TestHomeRegionFirst(t *testing.T) {
+	s := newSteer()
+	r := steer.Request{Service: "katalog", Home: "nord", Shift: true}
+	got := s.Choose(_now, newRand(), r, views(map[string]int{"alpen-b": 50, "nord-a": 5}))
+	assert.Equal(t, []string{"nord-a", "alpen-b"}, zones(got))
+}
+
+func TestNoShiftOutsideHome(t *testing.T) {
+	s := newSteer()
+	r := steer.Request{Service: "katalog", Home: "alpen"}
+	got := s.Choose(_now, newRand(), r, views(map[string]int{"alpen-b": 5, "nord-a": 50}))
+	assert.Equal(t, []string{"alpen-b"}, zones(got))
+}
+
+// Missing measurements mean "assume little", and old ones count for less.
+func TestUnknownAndOldViews(t *testing.T) {
+	s := newSteer()
+	assert.Empty(t, s.Choose(_now, newRand(), _atHome, views(nil)))
+	old := func(zone, _ string) steer.View {
+		return steer.View{Headroom: 2, Age: 4 * time.Second, Stale: 6 * time.Second, Known: zone == "nord-a"}
+	}
+	assert.Empty(t, s.Choose(_now, newRand(), _atHome, old), "a third of two slots is less than one")
+}
+
+// The window bounds what goes to a zone until answers let it grow in steps.
+func TestWindowGrowsInSteps(t *testing.T) {
+	s := newSteer()
+	view := views(map[string]int{"nord-a": 100})
+	now := _now
+	fill := func() int {
+		n := 0
+		for len(s.Choose(now, newRand(), _atHome, view)) > 0 {
+			s.Begin(now, "nord-a", "katalog")
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, steer.WindowStart, fill())
+	size := steer.WindowStart
+	for range 5 {
+		now = now.Add(steer.GrowInterval)
+		for range size {
+			s.End(now, "nord-a", "katalog", steer.Accepted)
+		}
+		next := fill()
+		assert.LessOrEqual(t, float64(next), float64(size)*(1+steer.GrowShare)+1)
+		assert.Greater(t, next, size)
+		size = next
+	}
+}
+
+func TestRefusalShrinksAtOnce(t *testing.T) {
+	s := newSteer()
+	view := views(map[string]int{"nord-a": 100})
+	s.Begin(_now, "nord-a", "katalog")
+	s.End(_now, "nord-a", "katalog", steer.Refused)
+	assert.Empty(t, s.Choose(_now, newRand(), _atHome, view), "held after a refusal")
+	later := _now.Add(steer.HoldAfterRefusal)
+	require.NotEmpty(t, s.Choose(later, newRand(), _atHome, view))
+	s.Begin(later, "nord-a", "katalog")
+	assert.Empty(t, s.Choose(later, newRand(), _atHome, view), "one at a time after a refusal")
+}
+
+// Many sources spread over the zones that advertise alike.
+func TestSourcesSpread(t *testing.T) {
+	counts := make(map[string]int)
+	rng := newRand()
+	for range 400 {
+		got := newSteer().Choose(_now, rng, _atHome, views(map[string]int{"nord-a": 10, "nord-b": 10}))
+		counts[got[0].Zone]++
+	}
+	assert.InDelta(t, 200, counts["nord-a"], 50)
+}
