Processes test; an instance is ready once it has lists and workers

Cause: a test of separate processes sent requests 100 ms after /readyz and got noRoom: the instance had lists, but the lagging list had not shown its workers. Change: ready needs lists and a listed worker of the own zone (or 5 s); until then it looks at the list every 100 ms, is not registered and sends no heartbeats. The same test then passes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -140,6 +140,17 @@
 	}
 }
 
+// Workers returns the number of workers listed in the own zone.
+func (s *Service) Workers() int {
+	n := 0
+	for _, st := range s.stations {
+		st.mu.Lock()
+		n += len(st.pool.Names())
+		st.mu.Unlock()
+	}
+	return n
+}
+
 // Loads returns what this instance has in flight and may take from other zones.
 func (s *Service) Loads(now time.Time) []fleet.ServiceLoad {
 	loads := make([]fleet.ServiceLoad, 0, len(s.stations))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -11,7 +11,6 @@
 	"net"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/wigeonlock/wigeonlock/admin"
@@ -121,14 +120,7 @@
 
 // Ready tells why the instance takes no callers, or nil.
 func (i *Instance) Ready() error {
-	switch {
-	case i.follower.Current() == nil:
-		return errors.New("no lists are in force yet")
-	case i.members.Leaving():
-		return errors.New("instance is leaving")
-	default:
-		return nil
-	}
+	return i.members.Ready()
 }
 
 // Lists returns the version of the lists in force, or zero.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -32,6 +32,11 @@
 	// ListInterval is the time between looks at the platform's list.
 	ListInterval = time.Second
 
+	// WorkersGrace is the time after which an instance takes callers although
+	// its zone has no workers in the list.
+	WorkersGrace = 5 * time.Second
+
+	_firstLooks       = 100 * time.Millisecond
 	_registerInterval = 5 * time.Second
 	_registerTTL      = 20 * time.Second
 )
@@ -45,6 +50,8 @@
 type Workers interface {
 	Listed(now time.Time, records []platform.Record)
 	Loads(now time.Time) []fleet.ServiceLoad
+	// Workers returns the number of workers listed in the own zone.
+	Workers() int
 }
 
 // Service keeps the membership of one entry instance. The exported fields are
@@ -57,11 +64,12 @@
 	Lists     *rollout.Follower
 	Log       *zap.Logger
 
-	ctx   context.Context
-	mu    sync.Mutex
-	fleet fleet.Fleet
-	loads []fleet.ServiceLoad
-	// ready is only used by the heartbeat loop.
+	ctx     context.Context
+	mu      sync.Mutex
+	fleet   fleet.Fleet
+	loads   []fleet.ServiceLoad
+	started time.Time
+	// ready tells that the instance takes callers.
 	ready bool
 	// sending are the members to which a heartbeat is under way.
 	sending map[string]struct{}
@@ -83,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sending = make(map[string]struct{})
+	s.started = now
 	s.fleet = fleet.Fleet{
 		Self: fleet.Member{
 			Name: s.Settings.Instance, Region: s.Settings.Region, Zone: s.Settings.Zone,
@@ -101,11 +110,10 @@
 		s.mu.Lock()
 		s.ctx = ctx
 		s.mu.Unlock()
+		s.untilReady(ctx, k)
 		return every(ctx, fleet.Interval, func() { s.beat(ctx, k) })
 	})
-	k.Go(ServiceName, func(ctx context.Context) error {
-		return every(ctx, ListInterval, func() { s.look(ctx) })
-	})
+	k.Go(ServiceName, s.lookAround)
 	k.Go(ServiceName, func(ctx context.Context) error {
 		return every(ctx, _registerInterval, func() { s.register(ctx) })
 	})
@@ -120,6 +128,52 @@
 	return nil
 }
 
+// lookAround reads the platform's list, more often until the instance is ready.
+func (s *Service) lookAround(ctx context.Context) error {
+	for {
+		interval := ListInterval
+		if s.Ready() != nil {
+			interval = _firstLooks
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+			s.look(ctx)
+		}
+	}
+}
+
+// Ready tells why the instance takes no callers, or nil.
+func (s *Service) Ready() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.fleet.Self.Leaving:
+		return errors.New("instance is leaving")
+	case s.Lists.Current() == nil:
+		return errors.New("no lists are in force yet")
+	case !s.ready:
+		return errors.New("no workers of the own zone are listed yet")
+	default:
+		return nil
+	}
+}
+
+// becomeReady lets callers and peers know of the instance once it has lists
+// and workers.
+func (s *Service) becomeReady(ctx context.Context, now time.Time) bool {
+	s.mu.Lock()
+	was := s.ready
+	s.ready = s.ready || s.Workers.Workers() > 0 || now.Sub(s.started) >= WorkersGrace
+	is := s.ready
+	s.mu.Unlock()
+	if is && !was {
+		s.register(ctx)
+	}
+	return is
+}
+
 // Leave makes the instance leave look-up answers: it tells the list and its
 // peers that it is leaving.
 func (s *Service) Leave(ctx context.Context, k *kernel.Kernel) {
@@ -164,13 +218,6 @@
 	s.fleet.Failed(name)
 }
 
-// Leaving reports whether the instance is leaving.
-func (s *Service) Leaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fleet.Self.Leaving
-}
-
 // Here returns the number of live instances of the own zone, at least one.
 func (s *Service) Here(now time.Time) int {
 	return max(len(s.Live(now, s.Settings.Zone)), 1)
@@ -242,9 +289,8 @@
 		s.pull(ctx, now)
 		return
 	}
-	if !s.ready {
-		s.ready = true
-		s.register(ctx)
+	if !s.becomeReady(ctx, now) {
+		return
 	}
 	loads := s.Workers.Loads(now)
 	version, age := s.Lists.ConfirmedAge(now)
@@ -261,6 +307,18 @@
 	}
 }
 
+// untilReady beats often until the instance is ready.
+func (s *Service) untilReady(ctx context.Context, k *kernel.Kernel) {
+	for s.Ready() != nil {
+		s.beat(ctx, k)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(_firstLooks):
+		}
+	}
+}
+
 // pull fetches the lists from a listed peer, the ones of the own zone first.
 func (s *Service) pull(ctx context.Context, now time.Time) {
 	s.mu.Lock()
@@ -327,12 +385,12 @@
 }
 
 func (s *Service) register(ctx context.Context) {
-	if s.Lists.Current() == nil {
-		return // nobody is to come here yet
-	}
 	s.mu.Lock()
-	self := s.fleet.Self
+	self, ready := s.fleet.Self, s.ready
 	s.mu.Unlock()
+	if !ready {
+		return // nobody is to come here yet
+	}
 	state := platform.Live
 	if self.Leaving {
 		state = platform.Leaving
