--- a/cmd/wigeonlock/measure.go
+++ b/cmd/wigeonlock/measure.go
@@ -1,13 +1,48 @@
 package main
 
 import (
+	"context"
+	"fmt"
+
 	"github.com/urfave/cli/v3"
+
+	"github.com/wigeonlock/wigeonlock/measure"
 )
 
 func measureCommand() *cli.Command {
 	return &cli.Command{
-		Name:     "measure",
-		Usage:    "measure a part of the system on this machine",
-		Commands: []*cli.Command{},
+		Name:  "measure",
+		Usage: "measure a part of the system on this machine",
+		Commands: []*cli.Command{
+			measurement("forward", "latency that one and two hops add to a direct call", measure.Forward),
+		},
+	}
+}
+
+// measurement returns the command of one measurement.
+func measurement[T any](name, usageText string, run func(context.Context, measure.Options) (T, error)) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usageText,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of random choices"},
+			formatFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			asJSON, err := formatOf(c)
+			if err != nil {
+				return err
+			}
+			ctx, stop := untilSignal(ctx)
+			defer stop()
+			result, err := run(ctx, measure.Options{Seed: c.Uint64("seed"), Progress: progressTo(c.Root().ErrWriter)})
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return printJSON(c, result)
+			}
+			_, err = fmt.Fprint(c.Root().Writer, measure.Text(result))
+			return err
+		},
 	}
 }
--- /dev/null
+++ b/measure/text.go
@@ -0,0 +1,37 @@
+package measure
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Text formats a result as lines of "name value", with one block for each
+// element of a list.
+func Text(result any) string {
+	var b strings.Builder
+	writeText(&b, reflect.ValueOf(result), "")
+	return b.String()
+}
+
+func writeText(b *strings.Builder, v reflect.Value, indent string) {
+	t := v.Type()
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "" {
+			continue
+		}
+		field := v.Field(i)
+		switch {
+		case field.Kind() == reflect.Slice && field.Type().Elem().Kind() == reflect.Struct:
+			for j := range field.Len() {
+				fmt.Fprintf(b, "%s%s %d\n", indent, name, j+1)
+				writeText(b, field.Index(j), indent+"  ")
+			}
+		case field.Kind() == reflect.Float64:
+			fmt.Fprintf(b, "%s%-28s %.4g\n", indent, name, field.Float())
+		default:
+			fmt.Fprintf(b, "%s%-28s %v\n", indent, name, field.Interface())
+		}
+	}
+}
