Two hops: small bodies travel with the head in one frame

Cause: profile of measure forward; a small answer took three gRPC frames (head, body, end), each with its own wake-up of the connection's writer; live members were counted anew and sorted several times a request.

--- a/dispatch/journey.go
+++ b/dispatch/journey.go
@@ -90,13 +90,17 @@
 	now := time.Now()
 	free, wait, workers := s.Here.Room(now, j.request.Service)
 	here := destination{here: true, zone: s.Settings.Zone}
+	open := workers && !j.hereClosed
+	atHome := j.tenant.HomeRegion == s.Settings.Region
+	if open && free > 0 && (atHome || !j.first()) {
+		return here, true // the usual case needs no look at other zones
+	}
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	routes := s.routes(now, j)
-	home := len(routes) > 0 && routes[0].Region == j.tenant.HomeRegion && j.tenant.HomeRegion != s.Settings.Region
+	home := !atHome && len(routes) > 0 && routes[0].Region == j.tenant.HomeRegion
 	trip, elsewhere := s.steer.Nearest(routes)
-	open := workers && !j.hereClosed
 	switch {
 	case home && j.first():
 	case open && (free > 0 || wait < trip):
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -37,6 +37,7 @@
 	WorkersGrace = 5 * time.Second
 
 	_firstLooks       = 100 * time.Millisecond
+	_countsTime       = 100 * time.Millisecond
 	_registerInterval = 5 * time.Second
 	_registerTTL      = 20 * time.Second
 )
@@ -68,6 +69,7 @@
 	mu      sync.Mutex
 	fleet   fleet.Fleet
 	loads   []fleet.ServiceLoad
+	counted counts
 	started time.Time
 	// ready tells that the instance takes callers.
 	ready bool
@@ -218,42 +220,71 @@
 	s.fleet.Failed(name)
 }
 
+// counts are the numbers of live instances that each request asks for. They
+// are counted anew after _countsTime.
+type counts struct {
+	at      time.Time
+	here    int
+	region  position
+	overall position
+}
+
+// position is the own rank among a number of members.
+type position struct {
+	rank    int
+	members int
+}
+
 // Here returns the number of live instances of the own zone, at least one.
 func (s *Service) Here(now time.Time) int {
-	return max(len(s.Live(now, s.Settings.Zone)), 1)
+	return s.count(now).here
 }
 
 // Rank returns the own rank among the live instances of the own region.
 func (s *Service) Rank(now time.Time) (rank, members int) {
-	for _, r := range s.Settings.Regions {
-		if r.Name != s.Settings.Region {
-			continue
-		}
-		for _, zone := range r.Zones {
-			for _, m := range s.Live(now, zone) {
-				if m.Name < s.Settings.Instance {
-					rank++
-				}
-				members++
-			}
-		}
-	}
-	return rank, max(members, rank+1)
+	p := s.count(now).region
+	return p.rank, p.members
 }
 
 // RankOfAll returns the own rank among the live instances of all regions.
 func (s *Service) RankOfAll(now time.Time) (rank, members int) {
+	p := s.count(now).overall
+	return p.rank, p.members
+}
+
+func (s *Service) count(now time.Time) counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if age := now.Sub(s.counted.at); age >= 0 && age < _countsTime {
+		return s.counted
+	}
+	c := counts{at: now}
 	for _, r := range s.Settings.Regions {
 		for _, zone := range r.Zones {
-			for _, m := range s.Live(now, zone) {
-				if m.Name < s.Settings.Instance {
-					rank++
-				}
-				members++
+			live := s.fleet.Live(now, zone)
+			if zone == s.Settings.Zone {
+				c.here = len(live)
 			}
+			if r.Name == s.Settings.Region {
+				c.region.add(live, s.Settings.Instance)
+			}
+			c.overall.add(live, s.Settings.Instance)
+		}
+	}
+	c.here = max(c.here, 1)
+	c.region.members = max(c.region.members, c.region.rank+1)
+	c.overall.members = max(c.overall.members, c.overall.rank+1)
+	s.counted = c
+	return c
+}
+
+func (p *position) add(live []fleet.Member, self string) {
+	for _, m := range live {
+		if m.Name < self {
+			p.rank++
 		}
+		p.members++
 	}
-	return rank, max(members, rank+1)
 }
 
 // Busy returns the slots that the other instances of the zone occupy.
--- a/peer/client.go
+++ b/peer/client.go
@@ -97,7 +97,7 @@
 	if err = stream.Send(head); err != nil {
 		return failed(recvError(stream, err), true)
 	}
-	if r.Body != nil && r.Body.Length != 0 {
+	if !head.GetRequest().GetWhole() {
 		// An answer may come before the whole body is taken: a refusal needs none of it.
 		go func() {
 			if sendBody(stream.Send, r.Body.Open()) == nil {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -15,9 +15,13 @@
 		Id: r.ID, Method: r.Method, Uri: r.URI, Headers: headersTo(r.Header),
 		Service: r.Service, Customer: r.Customer, TimeoutMs: max(timeout.Milliseconds(), 1), FromZone: r.FromZone,
 	}
-	if r.Body != nil {
-		head.ContentLength = r.Body.Length
+	if r.Body == nil {
+		head.Whole = true
+		return head
 	}
+	head.ContentLength = r.Body.Length
+	head.Whole = r.Body.Stream == nil
+	head.Body = r.Body.Bytes
 	return head
 }
 
@@ -25,15 +29,17 @@
 	return &relay.Request{
 		ID: h.GetId(), Method: h.GetMethod(), URI: h.GetUri(), Header: headersFrom(h.GetHeaders()),
 		Service: h.GetService(), Customer: h.GetCustomer(), FromZone: h.GetFromZone(),
-		Body: &relay.Body{Length: h.GetContentLength()},
+		Body: &relay.Body{Length: h.GetContentLength(), Bytes: h.GetBody()},
 	}
 }
 
 func answerHead(id string, a *relay.Answer) *wire.AnswerHead {
-	return &wire.AnswerHead{
+	head := &wire.AnswerHead{
 		Id: id, Outcome: string(a.Outcome), Reason: string(a.Reason), Status: int32(a.Status),
 		Headers: headersTo(a.Header), ContentLength: a.Length,
 	}
+	head.Body, head.Whole = relay.Bytes(a)
+	return head
 }
 
 func answerOf(h *wire.AnswerHead, recv func() (*wire.Frame, error)) *relay.Answer {
@@ -43,6 +49,10 @@
 	}
 	switch a.Outcome {
 	case retry.Run:
+		if h.GetWhole() && int64(len(h.GetBody())) == a.Length {
+			relay.SetBytes(a, h.GetBody())
+			return a
+		}
 		a.Body = relay.Whole(io.NopCloser(&frameReader{recv: recv}), a.Length)
 	case retry.NotRun:
 	default:
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,15 +33,17 @@
 	defer cancel()
 
 	r := requestOf(head)
-	if r.Body.Length != 0 {
+	if !head.GetWhole() {
 		r.Body.Stream = &frameReader{recv: stream.Recv}
 	}
-	answer := s.service.Carrier.Carry(ctx, r)
+	// A small answer is read whole here and sent with its head in one frame.
+	answer := relay.Buffer(s.service.Carrier.Carry(ctx, r))
 	defer answer.Close()
-	if err := stream.Send(&wire.Frame{Kind: &wire.Frame_Answer{Answer: answerHead(head.GetId(), answer)}}); err != nil {
+	reply := answerHead(head.GetId(), answer)
+	if err := stream.Send(&wire.Frame{Kind: &wire.Frame_Answer{Answer: reply}}); err != nil {
 		return err
 	}
-	if answer.Outcome != retry.Run {
+	if answer.Outcome != retry.Run || reply.GetWhole() {
 		return nil
 	}
 	return sendBody(stream.Send, answer.Body)
