--- /dev/null
+++ b/measure/payment.go
@@ -0,0 +1,140 @@
+package measure
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/payment"
+	"github.com/wigeonlock/wigeonlock/standin"
+	storehttp "github.com/wigeonlock/wigeonlock/store/http"
+)
+
+const (
+	_paymentInstances = 11
+	_paymentTime      = 4 * time.Second
+	_paymentDelay     = 5 * time.Millisecond
+)
+
+// PaymentResult compares ways to claim payments.
+type PaymentResult struct {
+	Runs []PaymentRun `json:"runs"`
+}
+
+// PaymentRun is one way under one load.
+type PaymentRun struct {
+	// Way is batched, or oneSwapPerClaim.
+	Way string `json:"way"`
+	// Callers send payments one after the other over all instances.
+	Callers           int     `json:"callers"`
+	PaymentsPerSecond float64 `json:"paymentsPerSecond"`
+	WritesPerSecond   float64 `json:"storeWritesPerSecond"`
+	PaymentsPerWrite  float64 `json:"paymentsPerWrite"`
+	P50Ms             float64 `json:"p50Ms"`
+	P99Ms             float64 `json:"p99Ms"`
+}
+
+// Payment measures claims of eleven instances through the store stand-in.
+func Payment(ctx context.Context, o Options) (PaymentResult, error) {
+	var r PaymentResult
+	for _, callers := range []int{11, 110, 440} {
+		o.progress(fmt.Sprintf("%d callers", callers))
+		batched, err := paymentBatched(ctx, callers)
+		if err != nil {
+			return r, err
+		}
+		naive, err := paymentNaive(ctx, callers)
+		if err != nil {
+			return r, err
+		}
+		r.Runs = append(r.Runs, batched, naive)
+	}
+	return r, nil
+}
+
+func paymentBatched(ctx context.Context, callers int) (PaymentRun, error) {
+	p := &standin.Platform{Delay: _paymentDelay}
+	if err := p.Listen("127.0.0.1:0"); err != nil {
+		return PaymentRun{}, err
+	}
+	defer func() { _ = p.Close() }()
+	services := make([]*payment.Service, _paymentInstances)
+	k := &kernel.Kernel{}
+	for i := range services {
+		services[i] = &payment.Service{Store: storehttp.New(p.URL())}
+		k.Services = append(k.Services, &named{services[i], fmt.Sprint("payment ", i)})
+	}
+	runCtx, cancel := context.WithCancel(ctx)
+	ready := make(chan struct{})
+	k.Ready = func() { close(ready) }
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(runCtx) }()
+	<-ready
+	run, err := paymentLoad(ctx, p, callers, "batched", func(ctx context.Context, caller int, key payment.Key) error {
+		v, err := services[caller%_paymentInstances].Claim(ctx, key, rand.Text())
+		if err == nil && v.Kind != payment.Granted {
+			err = errors.Errorf("claim is %s", v.Kind)
+		}
+		return err
+	})
+	cancel()
+	if endErr := <-ended; err == nil {
+		err = endErr
+	}
+	return run, err
+}
+
+// named gives a service another name, so that one kernel can run several.
+type named struct {
+	kernel.Service
+	name string
+}
+
+// Name returns the other name.
+func (n *named) Name() string { return n.name }
+
+func paymentNaive(ctx context.Context, callers int) (PaymentRun, error) {
+	p := &standin.Platform{Delay: _paymentDelay}
+	if err := p.Listen("127.0.0.1:0"); err != nil {
+		return PaymentRun{}, err
+	}
+	defer func() { _ = p.Close() }()
+	stores := make([]*storehttp.Store, _paymentInstances)
+	for i := range stores {
+		stores[i] = storehttp.New(p.URL())
+	}
+	return paymentLoad(ctx, p, callers, "oneSwapPerClaim", func(ctx context.Context, caller int, key payment.Key) error {
+		_, err := stores[caller%_paymentInstances].Swap(ctx, "payment/"+string(key), 0, []byte(rand.Text()), "")
+		return err
+	})
+}
+
+func paymentLoad(
+	ctx context.Context, p *standin.Platform, callers int, way string,
+	claim func(ctx context.Context, caller int, key payment.Key) error,
+) (PaymentRun, error) {
+	var n atomic.Int64
+	l := newLatencies()
+	_, before := p.Calls()
+	started := time.Now()
+	err := paced(ctx, _paymentTime, callers, 0, func(caller int) error {
+		key := payment.NewKey("brunnthaler", "bestellung", fmt.Sprint(n.Add(1)))
+		sent := time.Now()
+		err := claim(ctx, caller, key)
+		l.add(time.Since(sent))
+		return err
+	})
+	seconds := time.Since(started).Seconds()
+	_, after := p.Calls()
+	run := PaymentRun{
+		Way: way, Callers: callers, PaymentsPerSecond: float64(l.count()) / seconds,
+		WritesPerSecond: float64(after-before) / seconds, P50Ms: l.quantile(_half), P99Ms: l.quantile(_ninetyNine),
+	}
+	run.PaymentsPerWrite = run.PaymentsPerSecond / max(run.WritesPerSecond, 1)
+	return run, err
+}
