Payment claims batched by the owner of a shard; escrow follows demand faster

Cause: measure payment showed that 11 instances that batch on the same shards conflict: 0.4 payments a store write, less than one swap per claim. measure quota showed that idle holders kept half of the cap, and that a share was given back only after 5 to 10 s. Change: a shard's changes go to one live instance (rendezvous hash), which writes at most every 80 ms; any instance may still do it, the store decides.

--- /dev/null
+++ b/instance/owners.go
@@ -0,0 +1,47 @@
+package instance
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonlock/wigeonlock/membership"
+	"github.com/wigeonlock/wigeonlock/payment"
+	"github.com/wigeonlock/wigeonlock/peer"
+	"github.com/wigeonlock/wigeonlock/settings"
+)
+
+// owners assigns the shards of payment claims to live instances by rendezvous
+// hashing. Instances that disagree cost writes, not correctness.
+type owners struct {
+	settings *settings.Settings
+	members  *membership.Service
+	peers    *peer.Service
+}
+
+var _ payment.Owners = (*owners)(nil)
+
+// Owner returns the live instance with the highest hash of shard and name.
+func (o *owners) Owner(shard int) (address string, here bool) {
+	now := time.Now()
+	prefix := strconv.Itoa(shard) + "/"
+	best := uint64(0)
+	here = true
+	for _, r := range o.settings.Regions {
+		for _, zone := range r.Zones {
+			for _, m := range o.members.Live(now, zone) {
+				if rank := xxhash.Sum64String(prefix + m.Name); rank > best {
+					best, address, here = rank, m.PeerAddress, m.Name == o.settings.Instance
+				}
+			}
+		}
+	}
+	return address, here
+}
+
+// Change makes a change at another instance.
+func (o *owners) Change(ctx context.Context, address string, c payment.Change) (payment.Verdict, error) {
+	return o.peers.Client().Claim(ctx, address, c)
+}
--- a/measure/payment.go
+++ b/measure/payment.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,8 @@
 	_paymentInstances = 11
 	_paymentTime      = 4 * time.Second
 	_paymentDelay     = 5 * time.Millisecond
+	// _ownerDelay is the round trip between regions.
+	_ownerDelay = 70 * time.Millisecond
 )
 
 // PaymentResult compares ways to claim payments.
@@ -28,7 +31,8 @@
 
 // PaymentRun is one way under one load.
 type PaymentRun struct {
-	// Way is batched, or oneSwapPerClaim.
+	// Way is batchedByOwner, where one instance batches a shard; batchedByEach,
+	// where all do; or oneSwapPerClaim.
 	Way string `json:"way"`
 	// Callers send payments one after the other over all instances.
 	Callers           int     `json:"callers"`
@@ -44,7 +48,11 @@
 	var r PaymentResult
 	for _, callers := range []int{11, 110, 440} {
 		o.progress(fmt.Sprintf("%d callers", callers))
-		batched, err := paymentBatched(ctx, callers)
+		routed, err := paymentBatched(ctx, callers, true)
+		if err != nil {
+			return r, err
+		}
+		batched, err := paymentBatched(ctx, callers, false)
 		if err != nil {
 			return r, err
 		}
@@ -52,12 +60,34 @@
 		if err != nil {
 			return r, err
 		}
-		r.Runs = append(r.Runs, batched, naive)
+		r.Runs = append(r.Runs, routed, batched, naive)
 	}
 	return r, nil
 }
 
-func paymentBatched(ctx context.Context, callers int) (PaymentRun, error) {
+// directOwners forwards changes between services of one process.
+type directOwners struct {
+	services []*payment.Service
+	own      int
+}
+
+// Owner spreads the shards evenly.
+func (d *directOwners) Owner(shard int) (address string, here bool) {
+	owner := shard % len(d.services)
+	return strconv.Itoa(owner), owner == d.own
+}
+
+// Change makes a change at another service, after the latency between regions.
+func (d *directOwners) Change(ctx context.Context, address string, c payment.Change) (payment.Verdict, error) {
+	owner, err := strconv.Atoi(address)
+	if err != nil {
+		return payment.Verdict{}, err
+	}
+	time.Sleep(_ownerDelay)
+	return d.services[owner].Apply(ctx, c)
+}
+
+func paymentBatched(ctx context.Context, callers int, routed bool) (PaymentRun, error) {
 	p := &standin.Platform{Delay: _paymentDelay}
 	if err := p.Listen("127.0.0.1:0"); err != nil {
 		return PaymentRun{}, err
@@ -67,6 +97,9 @@
 	k := &kernel.Kernel{}
 	for i := range services {
 		services[i] = &payment.Service{Store: storehttp.New(p.URL())}
+		if routed {
+			services[i].Owners = &directOwners{services: services, own: i}
+		}
 		k.Services = append(k.Services, &named{services[i], fmt.Sprint("payment ", i)})
 	}
 	runCtx, cancel := context.WithCancel(ctx)
@@ -75,7 +108,11 @@
 	ended := make(chan error, 1)
 	go func() { ended <- k.Run(runCtx) }()
 	<-ready
-	run, err := paymentLoad(ctx, p, callers, "batched", func(ctx context.Context, caller int, key payment.Key) error {
+	way := "batchedByEach"
+	if routed {
+		way = "batchedByOwner"
+	}
+	run, err := paymentLoad(ctx, p, callers, way, func(ctx context.Context, caller int, key payment.Key) error {
 		v, err := services[caller%_paymentInstances].Claim(ctx, key, rand.Text())
 		if err == nil && v.Kind != payment.Granted {
 			err = errors.Errorf("claim is %s", v.Kind)
--- a/payment/service.go
+++ b/payment/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,10 +19,20 @@
 	// ServiceName is the name of the service in its kernel.
 	ServiceName = "payment"
 	// Shards is the number of store keys that claims are spread over.
-	Shards = 64
+	Shards = 16
+	// WriteInterval is the shortest time between two writes of a shard, so that
+	// all shards together write at most 200 times a second.
+	WriteInterval = 80 * time.Millisecond
+
+	_keyPrefix    = "payments/"
+	_retryPause   = 50 * time.Millisecond
+	_forwardLimit = 500 * time.Millisecond
+	_finishLimit  = 30 * time.Second
+)
 
-	_keyPrefix  = "payments/"
-	_retryPause = 50 * time.Millisecond
+var (
+	_writes           = metrics.NewCounter("wigeonlock_payment_writes_total")
+	_forwardedChanges = metrics.NewCounter("wigeonlock_payment_changes_forwarded_total")
 )
 
 // ErrUnavailable is returned when a claim could not be made certain in time.
@@ -31,10 +42,13 @@
 // Service claims payments in the store. The exported fields are set before Start.
 type Service struct {
 	Store store.Store
+	// Owners finds the instance that batches a shard; nil means the own one.
+	Owners Owners
 
 	shards [Shards]*worker
 	kernel *kernel.Kernel
-	writes *metrics.Counter
+	// background counts the changes that nobody waits for.
+	background atomic.Int64
 }
 
 // worker drives one shard; its loop runs only while there is something to do.
@@ -44,6 +58,7 @@
 	mu      sync.Mutex
 	shard   Shard
 	running bool
+	written time.Time
 }
 
 var _ kernel.Service = (*Service)(nil)
@@ -54,7 +69,6 @@
 // Start prepares the shards.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
 	s.kernel = k
-	s.writes = metrics.GetOrCreateCounter("wigeonlock_payment_writes_total")
 	for i := range s.shards {
 		s.shards[i] = &worker{key: _keyPrefix + strconv.Itoa(i)}
 	}
@@ -78,40 +92,49 @@
 // Claim asks for a key on behalf of an attempt. When ctx ends first, the claim
 // is given back and ErrUnavailable returned; the payment must not be sent.
 func (s *Service) Claim(ctx context.Context, key Key, attempt string) (Verdict, error) {
-	verdicts := make(chan Verdict, 1)
-	w := s.shard(key)
-	s.do(w, func(shard *Shard) { shard.Claim(key, attempt, func(v Verdict) { verdicts <- v }) })
-	select {
-	case v := <-verdicts:
-		return v, nil
-	case <-ctx.Done():
-		s.do(w, func(shard *Shard) { shard.Release(key, attempt, nil) })
-		return Verdict{}, ErrUnavailable
+	v, err := s.change(ctx, Change{Kind: ToClaim, Key: key, Attempt: attempt})
+	if err != nil {
+		s.later(Change{Kind: ToRelease, Key: key, Attempt: attempt})
 	}
+	return v, err
 }
 
 // Finish records the outcome of a payment that ran. It does not wait.
 func (s *Service) Finish(key Key, attempt string, o Outcome) {
-	s.do(s.shard(key), func(shard *Shard) { shard.Finish(key, attempt, o, nil) })
+	s.later(Change{Kind: ToFinish, Key: key, Attempt: attempt, Outcome: o})
 }
 
 // Release gives back the claim of a payment that did not run, so that the
 // caller may send it again. It waits until that is certain or ctx ends.
 func (s *Service) Release(ctx context.Context, key Key, attempt string) {
-	done := make(chan struct{})
-	s.do(s.shard(key), func(shard *Shard) { shard.Release(key, attempt, func(Verdict) { close(done) }) })
-	select {
-	case <-done:
-	case <-ctx.Done():
+	release := Change{Kind: ToRelease, Key: key, Attempt: attempt}
+	if _, err := s.change(ctx, release); err != nil {
+		s.later(release)
 	}
 }
 
+// later makes a change in the background.
+func (s *Service) later(c Change) {
+	s.background.Add(1)
+	s.kernel.Go(ServiceName, func(ctx context.Context) error {
+		defer s.background.Add(-1)
+		ctx, cancel := context.WithTimeout(ctx, _finishLimit)
+		defer cancel()
+		_, _ = s.change(ctx, c) // a claim that cannot be changed stays: no second run
+		return nil
+	})
+}
+
 func (s *Service) shard(key Key) *worker {
-	return s.shards[xxhash.Sum64String(string(key))%Shards]
+	return s.shards[shardOf(key)]
+}
+
+func shardOf(key Key) int {
+	return int(xxhash.Sum64String(string(key)) % Shards)
 }
 
 func (s *Service) waiting() int {
-	sum := 0
+	sum := int(s.background.Load())
 	for _, w := range s.shards {
 		w.mu.Lock()
 		sum += w.shard.Waiting()
@@ -120,11 +143,11 @@
 	return sum
 }
 
-// do changes a shard and makes sure that its loop runs.
-func (s *Service) do(w *worker, change func(*Shard)) {
+// do adds a change to a shard and makes sure that its loop runs.
+func (s *Service) do(w *worker, c Change, done func(Verdict)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	change(&w.shard)
+	w.shard.Add(c, done)
 	if w.running {
 		return
 	}
@@ -135,6 +158,7 @@
 // drive runs the steps of a shard until it is idle.
 func (s *Service) drive(ctx context.Context, w *worker) error {
 	for {
+		w.rest(ctx)
 		w.mu.Lock()
 		step, err := w.shard.Next(time.Now())
 		if err != nil || step.Kind == Idle {
@@ -154,6 +178,20 @@
 	}
 }
 
+// rest waits until the shard may be written again, while changes gather.
+func (w *worker) rest(ctx context.Context) {
+	w.mu.Lock()
+	wait := WriteInterval - time.Since(w.written)
+	w.mu.Unlock()
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // step makes one call to the store and reports whether the store answered.
 func (s *Service) step(ctx context.Context, w *worker, step Step) bool {
 	if step.Kind == Read {
@@ -165,10 +203,11 @@
 		defer w.mu.Unlock()
 		return w.shard.ReadDone(entry.Value, uint64(entry.Version)) == nil
 	}
-	s.writes.Inc()
+	_writes.Inc()
 	version, err := s.Store.Swap(ctx, w.key, store.Version(step.Expected), step.Value, "")
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.written = time.Now()
 	w.shard.SwapDone(step.Value, uint64(version), err == nil)
 	return err == nil || errors.Is(err, store.ErrConflict)
 }
--- a/payment/shard.go
+++ b/payment/shard.go
@@ -23,22 +23,10 @@
 	Claim Claim
 }
 
-// opKind is what an operation does to a record.
-type opKind string
-
-const (
-	_claim   opKind = "claim"
-	_finish  opKind = "finish"
-	_release opKind = "release"
-)
-
 // op is one change to a record. done, if not nil, takes the verdict.
 type op struct {
-	kind    opKind
-	key     Key
-	attempt string
-	outcome Outcome
-	done    func(Verdict)
+	Change
+	done func(Verdict)
 }
 
 // StepKind is what a shard needs from the store.
@@ -73,19 +61,9 @@
 	results []Verdict
 }
 
-// Claim asks for a key; done is called with the verdict once it is certain.
-func (s *Shard) Claim(key Key, attempt string, done func(Verdict)) {
-	s.pending = append(s.pending, op{kind: _claim, key: key, attempt: attempt, done: done})
-}
-
-// Finish records the outcome of a payment.
-func (s *Shard) Finish(key Key, attempt string, o Outcome, done func(Verdict)) {
-	s.pending = append(s.pending, op{kind: _finish, key: key, attempt: attempt, outcome: o, done: done})
-}
-
-// Release gives back the claim of a payment that did not run.
-func (s *Shard) Release(key Key, attempt string, done func(Verdict)) {
-	s.pending = append(s.pending, op{kind: _release, key: key, attempt: attempt, done: done})
+// Add adds a change; done, if not nil, is called with the verdict once it is certain.
+func (s *Shard) Add(c Change, done func(Verdict)) {
+	s.pending = append(s.pending, op{c, done})
 }
 
 // Next returns what the shard needs from the store. Each step other than Idle
@@ -155,15 +133,14 @@
 	s.next = s.record.clone()
 	s.results = make([]Verdict, len(s.batch))
 	for i, o := range s.batch {
-		switch o.kind {
-		case _claim:
-			s.results[i] = s.next.claim(o.key, o.attempt, now)
-		case _finish:
-			s.next.finish(o.key, o.attempt, o.outcome)
-			s.results[i] = Verdict{Kind: Granted}
-		case _release:
-			s.next.release(o.key, o.attempt)
-			s.results[i] = Verdict{Kind: Granted}
+		s.results[i] = Verdict{Kind: Granted}
+		switch o.Kind {
+		case ToClaim:
+			s.results[i] = s.next.claim(o.Key, o.Attempt, now)
+		case ToFinish:
+			s.next.finish(o.Key, o.Attempt, o.Outcome)
+		case ToRelease:
+			s.next.release(o.Key, o.Attempt)
 		}
 	}
 }
--- a/payment/shard_test.go
+++ b/payment/shard_test.go
@@ -49,7 +49,7 @@
 
 func claim(t require.TestingT, s *payment.Shard, r *register, key payment.Key, attempt string) payment.Verdict {
 	var got payment.Verdict
-	s.Claim(key, attempt, func(v payment.Verdict) { got = v })
+	s.Add(payment.Change{Kind: payment.ToClaim, Key: key, Attempt: attempt}, func(v payment.Verdict) { got = v })
 	drive(t, s, r)
 	return got
 }
@@ -62,7 +62,10 @@
 	assert.Equal(t, payment.Duplicate, got.Kind)
 	assert.Equal(t, payment.Claimed, got.Claim.State)
 
-	a.Finish("k", "one", payment.Outcome{Status: 200, Answer: []byte("paid"), Kept: true}, nil)
+	a.Add(payment.Change{
+		Kind: payment.ToFinish, Key: "k", Attempt: "one",
+		Outcome: payment.Outcome{Status: 200, Answer: []byte("paid"), Kept: true},
+	}, nil)
 	drive(t, &a, &store)
 	got = claim(t, &b, &store, "k", "three")
 	assert.Equal(t, payment.Duplicate, got.Kind)
@@ -74,10 +77,10 @@
 	var store register
 	var a, b payment.Shard
 	require.Equal(t, payment.Granted, claim(t, &a, &store, "k", "one").Kind)
-	a.Release("k", "one", nil)
+	a.Add(payment.Change{Kind: payment.ToRelease, Key: "k", Attempt: "one"}, nil)
 	drive(t, &a, &store)
 	assert.Equal(t, payment.Granted, claim(t, &b, &store, "k", "two").Kind)
-	a.Release("k", "one", nil) // a late repetition changes nothing
+	a.Add(payment.Change{Kind: payment.ToRelease, Key: "k", Attempt: "one"}, nil) // a late repetition changes nothing
 	drive(t, &a, &store)
 	assert.Equal(t, payment.Duplicate, claim(t, &a, &store, "k", "three").Kind)
 }
@@ -87,7 +90,7 @@
 	var store register
 	var s payment.Shard
 	var got payment.Verdict
-	s.Claim("k", "one", func(v payment.Verdict) { got = v })
+	s.Add(payment.Change{Kind: payment.ToClaim, Key: "k", Attempt: "one"}, func(v payment.Verdict) { got = v })
 	step, err := s.Next(_now)
 	require.NoError(t, err)
 	require.Equal(t, payment.Read, step.Kind)
@@ -106,7 +109,7 @@
 	var s payment.Shard
 	granted := 0
 	for i := range 100 {
-		s.Claim(payment.Key(fmt.Sprint(i)), "one", func(v payment.Verdict) {
+		s.Add(payment.Change{Kind: payment.ToClaim, Key: payment.Key(fmt.Sprint(i)), Attempt: "one"}, func(v payment.Verdict) {
 			if v.Kind == payment.Granted {
 				granted++
 			}
@@ -138,7 +141,9 @@
 	kinds := make(map[payment.VerdictKind]int)
 	for i := 0; kinds[payment.Full] == 0; i++ {
 		for j := range 500 {
-			s.Claim(payment.NewKey("c", "s", fmt.Sprint(i, j)), "attempt", func(v payment.Verdict) { kinds[v.Kind]++ })
+			s.Add(payment.Change{
+				Kind: payment.ToClaim, Key: payment.NewKey("c", "s", fmt.Sprint(i, j)), Attempt: "attempt",
+			}, func(v payment.Verdict) { kinds[v.Kind]++ })
 		}
 		drive(t, &s, &store)
 		require.Less(t, i, 100)
@@ -172,7 +177,7 @@
 			case 0, 1:
 				attempts++
 				attempt := fmt.Sprint(attempts)
-				s.Claim(key, attempt, func(v payment.Verdict) {
+				s.Add(payment.Change{Kind: payment.ToClaim, Key: key, Attempt: attempt}, func(v payment.Verdict) {
 					if v.Kind != payment.Granted {
 						return
 					}
@@ -187,7 +192,7 @@
 			case 2:
 				for attempt := range holders[key] { // it was not run: the holder gives back
 					delete(holders[key], attempt)
-					s.Release(key, attempt, nil)
+					s.Add(payment.Change{Kind: payment.ToRelease, Key: key, Attempt: attempt}, nil)
 				}
 			case 3:
 				shards[i] = &payment.Shard{} // a crash: what was pending is gone
--- /dev/null
+++ b/peer/claim.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/wigeonlock/wigeonlock/payment"
+	"github.com/wigeonlock/wigeonlock/peer/wire"
+)
+
+// Claims makes changes to payment claims.
+type Claims interface {
+	Apply(ctx context.Context, c payment.Change) (payment.Verdict, error)
+}
+
+// Claim makes a change on behalf of another instance.
+func (s *server) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	v, err := s.service.Claims.Apply(ctx, payment.Change{
+		Kind: payment.ChangeKind(r.GetKind()), Key: payment.Key(r.GetKey()), Attempt: r.GetAttempt(),
+		Outcome: payment.Outcome{
+			Status: int(r.GetStatus()), ContentType: r.GetContentType(), Answer: r.GetAnswer(), Kept: r.GetKept(),
+		},
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &wire.ClaimReply{
+		Kind: string(v.Kind), Attempt: v.Claim.Attempt, State: string(v.Claim.State), Status: int32(v.Claim.Status),
+		ContentType: v.Claim.ContentType, Answer: v.Claim.Answer, Kept: v.Claim.Kept,
+	}, nil
+}
+
+// Claim asks the instance at an address to make a change to a payment claim.
+// An error leaves open whether it was made.
+func (c *Client) Claim(ctx context.Context, address string, change payment.Change) (payment.Verdict, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return payment.Verdict{}, err
+	}
+	o := change.Outcome
+	reply, err := wire.NewPeerClient(conn).Claim(ctx, &wire.ClaimRequest{
+		Kind: string(change.Kind), Key: string(change.Key), Attempt: change.Attempt,
+		Status: int32(o.Status), ContentType: o.ContentType, Answer: o.Answer, Kept: o.Kept,
+	})
+	if err != nil {
+		return payment.Verdict{}, errors.Wrap(err, "forward claim")
+	}
+	return payment.Verdict{Kind: payment.VerdictKind(reply.GetKind()), Claim: payment.Claim{
+		Key: change.Key, Attempt: reply.GetAttempt(), State: payment.State(reply.GetState()), Status: int(reply.GetStatus()),
+		ContentType: reply.GetContentType(), Answer: reply.GetAnswer(), Kept: reply.GetKept(),
+	}}, nil
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -64,6 +64,7 @@
 	Carrier  relay.Carrier
 	Gossip   Gossip
 	Lists    rollout.Source
+	Claims   Claims
 	Log      *zap.Logger
 	// Listen replaces net.Listen.
 	Listen func(network, address string) (net.Listener, error)
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -7,11 +7,15 @@
 const (
 	// GiveBackAfter is the time for which a part of a share must be unused
 	// before it is given back.
-	GiveBackAfter = 5 * time.Second
-	// RaiseStep is the smallest raise in slots.
+	GiveBackAfter = time.Second
+	// RaiseStep is the smallest raise in slots; a larger share is raised by half.
 	RaiseStep = 2
 	// ReadInterval is the time between reads of a record that blocks admission.
 	ReadInterval = 250 * time.Millisecond
+	// RefreshInterval is the time between reads of a record whose cap is used up.
+	RefreshInterval = time.Second
+	// ProbeInterval is the time between looks for sessions that lapsed.
+	ProbeInterval = 5 * time.Second
 )
 
 // Reason tells why a request was admitted or refused.
@@ -78,6 +82,7 @@
 	proposed Record
 	fence    fence
 	readAt   time.Time
+	probedAt time.Time
 	inUse    int
 	window   window
 	wanted   int
@@ -268,7 +273,7 @@
 	need := max(h.Base, h.wanted)
 	if need > current {
 		room := max(r.Cap-r.Occupied(), 0)
-		raised := current + min(max(need-current, RaiseStep), room)
+		raised := current + min(max(need-current, RaiseStep, current/2), room)
 		h.window.note(now, raised) // a raise counts as used, or it would be given back at once
 		return raised
 	}
@@ -292,10 +297,18 @@
 // unblock looks for shares to reclaim when the cap is used up, and otherwise
 // waits for the other holders.
 func (h *Holder) unblock(now time.Time) Step {
-	if now.Sub(h.readAt) < ReadInterval {
+	interval := RefreshInterval
+	if h.record.Occupied() > h.record.Cap {
+		interval = ReadInterval
+	}
+	if now.Sub(h.readAt) < interval {
 		return Step{Kind: Idle}
 	}
 	h.wanted = 0
+	if now.Sub(h.probedAt) < ProbeInterval {
+		return h.read(now)
+	}
+	h.probedAt = now
 	var others []Share
 	for _, s := range h.record.Shares {
 		if s.Session != h.Session.ID {
--- a/quota/holder_test.go
+++ b/quota/holder_test.go
@@ -179,7 +179,7 @@
 	a.Release()
 	b.Release()
 	settle(now, b, &store)
-	settle(now.Add(quota.ReadInterval), a, &store)
+	settle(now.Add(quota.RefreshInterval), a, &store)
 	assert.LessOrEqual(t, store.record.Occupied(), 4)
 	assert.Equal(t, quota.NoShare, a.Admit(now, true))
 }
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -258,8 +258,7 @@
 	defer k.mu.Unlock()
 	holders := make(map[string]*Holder, len(k.holders))
 	for name, h := range k.holders {
-		// Half of the cap is spread beforehand; the other half goes where it is needed.
-		h.Base = Split(h.Limit()/2, members, rank)
+		h.Base = Base(h.Limit(), members, rank)
 		holders[name] = h
 	}
 	return holders
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -32,6 +32,15 @@
 	return m.used[key]
 }
 
+// _baseShare is the part of a cap that idle holders keep, so that a shift can
+// begin at once; the rest goes where it is needed.
+const _baseShare = 4
+
+// Base returns the share that the idle holder with the given rank keeps.
+func Base(limit, members, rank int) int {
+	return Split(limit/_baseShare, members, rank)
+}
+
 // Split returns the part of a limit that the member with the given rank may
 // use. The parts of all members add up to the limit.
 func Split(limit, members, rank int) int {
