--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,18 +1,24 @@
 // Package fleet decides which entry instances are alive, from heartbeats and
 // the platform's lagging list.
 //
-// Members of a zone exchange heartbeats. One member of each zone, its
-// reporter, sends a report of the zone to the reporters of the other zones,
-// and passes the reports that it receives on within its zone. So a node's
-// control traffic grows with the members of its zone and the number of zones,
-// not with the number of nodes.
+// Each member tells one other member of its zone, at each Interval, what it
+// knows of all: the age of the last sign of life of each member and of the
+// report of each other zone. The member told is chosen by doubling distances,
+// so that news reach all members of a zone in about log2(n) intervals. The
+// members share the task of telling the other zones. So a node's control
+// traffic grows with the members of its zone and the number of zones, not with
+// the number of nodes, and no node has more of it than others.
+//
+// Messages carry ages instead of times, so that clocks need not agree, and
+// hashes instead of names; names and addresses come from the platform's list
+// and from the full messages that a member sends now and then.
 //
 // Fleet does no I/O: events and the time come in, messages to send come out.
 // It is not safe for concurrent use.
 //
 // # Usage
 //
-//	f := &fleet.Fleet{Self: self}
+//	f := &fleet.Fleet{Self: self, Services: names}
 //	f.Listed(now, members)                 // from the platform's list
 //	for _, send := range f.Tick(now) {     // every Interval
 //		// send.Message to send.To
@@ -22,30 +28,43 @@
 package fleet
 
 import (
+	"math/bits"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// Interval is the time between heartbeats.
+	// Interval is the time between messages of a member within its zone.
 	Interval = 500 * time.Millisecond
-	// ReportInterval is the time between reports of a zone.
+	// ReportInterval is the time between reports to another zone, while there
+	// are at most FewZones; beyond, it is twice as long.
 	ReportInterval = time.Second
-	// SuspectAfter is the silence after which a member of the own zone is
-	// left out of look-up answers. Three heartbeats may be lost.
-	SuspectAfter = 2 * time.Second
+	// FewZones is the number of zones up to which each message tells of all.
+	FewZones = 8
 	// StaleAfter is the age from which the report of another zone counts for nothing.
-	StaleAfter = 6 * time.Second
-	// SpreadTime is the time until all instances know that one is leaving, while
-	// messages arrive: a heartbeat, a report, a heartbeat in the other zone, and
-	// as much again for one that is lost.
-	SpreadTime = 2 * (ReportInterval + 2*Interval)
+	StaleAfter = 8 * time.Second
 	// ForgetAfter is the silence after which a member is removed.
 	ForgetAfter = 60 * time.Second
+
+	// _fullEvery is the number of messages of which one carries names and addresses.
+	_fullEvery = 8
+	// _manyZonesEvery is the number of messages of which one tells of the other
+	// zones, when there are more than FewZones.
+	_manyZonesEvery = 3
+	// _reviveEvery is the number of intervals after which a silent member is tried.
+	_reviveEvery = 4
+	// _rosterTime is the time for which a changed roster is told in each message.
+	_rosterTime = 4 * time.Second
+	// _rostersInTurn is the number of unchanged rosters told in each message.
+	_rostersInTurn = 1
 )
 
+// ID names a member's incarnation, or a zone, in messages.
+type ID uint32
+
 // Member is an entry instance.
 type Member struct {
 	Name        string
@@ -58,6 +77,16 @@
 	Leaving     bool
 }
 
+// ID returns the hash of the member's name and incarnation.
+func (m Member) ID() ID {
+	return ID(xxhash.Sum64String(m.Name + "/" + strconv.FormatUint(m.Incarnation, 10)))
+}
+
+// ZoneID returns the hash of a zone's name.
+func ZoneID(zone string) ID {
+	return ID(xxhash.Sum64String(zone))
+}
+
 // ServiceLoad is the load of a service in a zone, in slots.
 type ServiceLoad struct {
 	Service string
@@ -69,22 +98,48 @@
 	Headroom int
 }
 
-// Report is what one zone tells the others.
-type Report struct {
-	Zone    string
-	Region  string
-	Members []Member
-	Loads   []ServiceLoad
-	// Age is the time since the report was made.
+// Load is the load of one service in a message; services go by their order.
+type Load struct {
+	Slots    int
+	Busy     int
+	Headroom int
+}
+
+// Beat is the last sign of life of a member of the sender's zone.
+type Beat struct {
+	ID      ID
+	Age     time.Duration
+	Leaving bool
+	Loads   []Load
+}
+
+// ZoneBeat is the last report of a zone.
+type ZoneBeat struct {
+	ID  ID
 	Age time.Duration
+	// Digest is the hash of the zone's roster.
+	Digest ID
+	Loads  []Load
+}
+
+// Roster names the members of a zone that take work.
+type Roster struct {
+	Zone    ID
+	Members []ID
 }
 
-// Message is a heartbeat. It carries the sender and reports that are new to
-// the receiver.
+// Message tells what a member knows.
 type Message struct {
-	From    Member
-	Loads   []ServiceLoad
-	Reports []Report
+	// From has at least name and incarnation; all of it if Full.
+	From Member
+	Full bool
+	// Zone is the sender's zone.
+	Zone ID
+	// Services is the hash of the services' names in their order.
+	Services ID
+	Beats    []Beat
+	Zones    []ZoneBeat
+	Rosters  []Roster
 }
 
 // Send is a message and its receiver.
@@ -93,32 +148,48 @@
 	Message Message
 }
 
+// Report is what is known of another zone.
+type Report struct {
+	Zone  string
+	Loads []ServiceLoad
+	// Age is the time since the report was made.
+	Age time.Duration
+}
+
 // Fleet is the view that one entry instance has of all of them.
 type Fleet struct {
 	// Self is the instance itself.
 	Self Member
-	// Loads returns the load of the own zone for its report.
+	// Services are the names of all services, in the same order everywhere.
+	Services []string
+	// Loads returns the instance's own load.
 	Loads func(now time.Time) []ServiceLoad
 
 	members  map[string]*seen
-	zones    map[string]*zone
+	byID     map[ID]*seen
+	zones    map[ID]*zone
+	services ID
+	tick     int
 	reported time.Time
+	turn     int
 }
 
-// seen is a member of the own zone or one that the platform lists.
+// seen is a member that was listed or heard of.
 type seen struct {
 	Member
 	heard  time.Time
 	listed time.Time
-	loads  []ServiceLoad
+	loads  []Load
 }
 
-// zone is the newest report of another zone.
+// zone is the newest report of a zone.
 type zone struct {
-	Report
+	ZoneBeat
 	made time.Time
-	// passed is the time of the report last passed on within the own zone.
-	passed time.Time
+	// roster is the one last told, whose digest may be an earlier one.
+	roster  []ID
+	digest  ID
+	changed time.Time
 }
 
 // Listed takes the entry instances of the platform's list.
@@ -128,37 +199,32 @@
 		if m.Name == f.Self.Name {
 			continue
 		}
-		s := f.member(m.Name)
-		s.listed = now
-		// The list lags: it never overrules a newer incarnation.
-		if m.Incarnation > s.Incarnation || s.PeerAddress == "" {
-			s.Member = m
-		}
+		f.learn(m).listed = now
 	}
 }
 
-// Receive takes a heartbeat.
+// Receive takes a message.
 func (f *Fleet) Receive(now time.Time, m Message) {
 	f.init()
 	if m.From.Name == f.Self.Name {
 		return
 	}
-	s := f.member(m.From.Name)
-	if m.From.Incarnation < s.Incarnation {
-		return // a late message of an earlier start
+	f.hear(now, m)
+	for _, b := range m.Beats {
+		if s, ok := f.byID[b.ID]; ok && m.Zone == ZoneID(f.Self.Zone) && s.Zone == f.Self.Zone {
+			f.takeBeat(now, s, b, m.Services)
+		}
 	}
-	left := s.Leaving && m.From.Incarnation == s.Incarnation
-	s.Member = m.From
-	s.Leaving = s.Leaving || left
-	s.heard = now
-	s.loads = m.Loads
-	for _, r := range m.Reports {
-		f.takeReport(now, r)
+	for _, z := range m.Zones {
+		f.takeZone(now, z, m.Services)
+	}
+	for _, r := range m.Rosters {
+		f.takeRoster(now, r)
 	}
 }
 
-// Failed records that a member refused a connection: it is suspected until it
-// is heard again.
+// Failed records that a member refused a connection: it is suspected until a
+// newer sign of life of it is heard.
 func (f *Fleet) Failed(name string) {
 	if s, ok := f.members[name]; ok {
 		s.heard = time.Time{}
@@ -169,12 +235,15 @@
 func (f *Fleet) Tick(now time.Time) []Send {
 	f.init()
 	f.forget(now)
-	reporter := f.reporter(now)
+	f.tick++
+	message := f.message(now)
 	var sends []Send
-	sends = append(sends, f.heartbeats(now, reporter)...)
-	if reporter && now.Sub(f.reported) >= ReportInterval {
+	if to, ok := f.next(now); ok {
+		sends = append(sends, Send{To: to.Member, Message: message})
+	}
+	if now.Sub(f.reported) >= f.reportInterval() {
 		f.reported = now
-		sends = append(sends, f.reports(now)...)
+		sends = append(sends, f.reports(now, message)...)
 	}
 	return sends
 }
@@ -185,12 +254,8 @@
 	var live []Member
 	if zoneName == f.Self.Zone {
 		live = f.liveHere(now)
-	} else if z, ok := f.zones[zoneName]; ok && now.Sub(z.made) < StaleAfter {
-		for _, m := range z.Members {
-			if !m.Leaving {
-				live = append(live, m)
-			}
-		}
+	} else {
+		live = f.liveIn(now, zoneName)
 	}
 	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
 	return live
@@ -211,35 +276,175 @@
 
 // Zone returns the newest report of another zone and its age.
 func (f *Fleet) Zone(now time.Time, zoneName string) (Report, bool) {
-	z, ok := f.zones[zoneName]
+	z, ok := f.zones[ZoneID(zoneName)]
 	if !ok || now.Sub(z.made) >= StaleAfter {
 		return Report{}, false
 	}
-	r := z.Report
-	r.Age = now.Sub(z.made)
+	r := Report{Zone: zoneName, Age: now.Sub(z.made)}
+	for i, l := range z.Loads {
+		if i < len(f.Services) {
+			r.Loads = append(r.Loads, ServiceLoad{f.Services[i], l.Slots, l.Busy, l.Headroom})
+		}
+	}
 	return r, true
 }
 
-// Heard reports whether a heartbeat of the member came within SuspectAfter.
-func (f *Fleet) Heard(now time.Time, name string) bool {
-	s, ok := f.members[name]
-	return ok && now.Sub(s.heard) < SuspectAfter
+// PeerAddress returns the peer address of a member, or an empty string.
+func (f *Fleet) PeerAddress(name string) string {
+	if s, ok := f.members[name]; ok {
+		return s.PeerAddress
+	}
+	return ""
+}
+
+// Busy returns the slots that other live members of the zone occupy in a service.
+func (f *Fleet) Busy(now time.Time, service string) int {
+	busy := 0
+	for _, s := range f.members {
+		if s.Zone != f.Self.Zone || f.suspected(now, s) {
+			continue
+		}
+		for i, l := range s.loads {
+			if i < len(f.Services) && f.Services[i] == service {
+				busy += l.Busy
+			}
+		}
+	}
+	return busy
+}
+
+// SuspectAfter is the silence after which a member of the own zone is left out
+// of look-up answers: twice the time that news take in the zone, and more for
+// lost messages.
+func (f *Fleet) SuspectAfter() time.Duration {
+	return Interval * time.Duration(2+2*rounds(f.zoneSize()))
+}
+
+// Spread is the time until all instances know that one is leaving, while
+// messages arrive: through its zone, to another zone and through that, and as
+// much again for messages that are lost.
+func (f *Fleet) Spread() time.Duration {
+	inZone := Interval * time.Duration(1+rounds(f.zoneSize()))
+	return 2 * (2*inZone + f.reportInterval())
 }
 
 func (f *Fleet) init() {
-	if f.members == nil {
-		f.members = make(map[string]*seen)
-		f.zones = make(map[string]*zone)
+	if f.members != nil {
+		return
+	}
+	f.members = make(map[string]*seen)
+	f.byID = make(map[ID]*seen)
+	f.zones = make(map[ID]*zone)
+	hash := xxhash.New()
+	for _, name := range f.Services {
+		_, _ = hash.WriteString(name + "\n")
+	}
+	f.services = ID(hash.Sum64())
+}
+
+// learn takes the names and addresses of a member. A newer incarnation is
+// never overruled by an older one, nor leaving by the lagging list.
+func (f *Fleet) learn(m Member) *seen {
+	s, ok := f.members[m.Name]
+	switch {
+	case !ok:
+		s = &seen{Member: m}
+		f.members[m.Name] = s
+	case m.Incarnation < s.Incarnation:
+		return s
+	case m.Incarnation > s.Incarnation:
+		delete(f.byID, s.ID())
+		*s = seen{Member: m}
+	default:
+		m.Leaving = m.Leaving || s.Leaving
+		s.Member = m
+	}
+	f.byID[s.ID()] = s
+	return s
+}
+
+// hear takes the sign of life that a message is for its sender.
+func (f *Fleet) hear(now time.Time, m Message) {
+	s, known := f.members[m.From.Name]
+	switch {
+	case m.Full:
+		s = f.learn(m.From)
+	case !known:
+		return
+	}
+	if m.From.Incarnation != s.Incarnation {
+		return // a late message of an earlier start, or one whose names are not known yet
+	}
+	s.heard = now
+	s.Leaving = s.Leaving || m.From.Leaving
+}
+
+func (f *Fleet) takeBeat(now time.Time, s *seen, b Beat, services ID) {
+	s.Leaving = s.Leaving || b.Leaving
+	if heard := now.Add(-b.Age); heard.After(s.heard) || len(s.loads) == 0 {
+		if heard.After(s.heard) {
+			s.heard = heard
+		}
+		if services == f.services {
+			s.loads = b.Loads
+		}
 	}
 }
 
-func (f *Fleet) member(name string) *seen {
-	s, ok := f.members[name]
+func (f *Fleet) takeZone(now time.Time, b ZoneBeat, services ID) {
+	if b.ID == ZoneID(f.Self.Zone) {
+		return
+	}
+	made := now.Add(-b.Age)
+	z, ok := f.zones[b.ID]
 	if !ok {
-		s = &seen{Member: Member{Name: name}}
-		f.members[name] = s
+		z = &zone{}
+		f.zones[b.ID] = z
 	}
-	return s
+	if !made.After(z.made) {
+		return
+	}
+	if services != f.services {
+		b.Loads = nil
+	}
+	z.ZoneBeat = b
+	z.made = made
+	if z.digest == z.Digest {
+		f.touch(now, z.roster)
+	}
+}
+
+// touch keeps members that a fresh report names from being forgotten, also
+// while the platform's list cannot be read.
+func (f *Fleet) touch(now time.Time, ids []ID) {
+	for _, id := range ids {
+		if s, ok := f.byID[id]; ok {
+			s.listed = now
+		}
+	}
+}
+
+func (f *Fleet) takeRoster(now time.Time, r Roster) {
+	z, ok := f.zones[r.Zone]
+	digest := digestOf(r.Members)
+	if !ok || z.Digest != digest || z.digest == digest {
+		return
+	}
+	z.roster, z.digest, z.changed = r.Members, digest, now
+}
+
+func (f *Fleet) suspected(now time.Time, s *seen) bool {
+	return now.Sub(s.heard) >= f.SuspectAfter()
+}
+
+func (f *Fleet) zoneSize() int {
+	n := 1
+	for _, s := range f.members {
+		if s.Zone == f.Self.Zone {
+			n++
+		}
+	}
+	return n
 }
 
 func (f *Fleet) liveHere(now time.Time) []Member {
@@ -248,172 +453,192 @@
 		live = append(live, f.Self)
 	}
 	for _, s := range f.members {
-		if s.Zone == f.Self.Zone && !s.Leaving && now.Sub(s.heard) < SuspectAfter {
+		if s.Zone == f.Self.Zone && !s.Leaving && !f.suspected(now, s) {
 			live = append(live, s.Member)
 		}
 	}
 	return live
 }
 
-// reporter reports whether the own instance speaks for its zone: the one with
-// the lowest hash of name and zone among the live members.
-func (f *Fleet) reporter(now time.Time) bool {
-	own := rank(f.Self)
-	for _, m := range f.liveHere(now) {
-		if m.Name != f.Self.Name && rank(m) < own {
-			return false
+// liveIn returns the members of another zone that its fresh report names.
+// While the names behind the report are not known, the listed members serve.
+func (f *Fleet) liveIn(now time.Time, zoneName string) []Member {
+	z, ok := f.zones[ZoneID(zoneName)]
+	if !ok || now.Sub(z.made) >= StaleAfter {
+		return nil
+	}
+	if z.digest != z.Digest {
+		return f.LastKnown(zoneName)
+	}
+	var live []Member
+	for _, id := range z.roster {
+		if s, known := f.byID[id]; known && !s.Leaving {
+			live = append(live, s.Member)
 		}
 	}
-	return true
+	return live
 }
 
-func (f *Fleet) heartbeats(now time.Time, reporter bool) []Send {
-	message := Message{From: f.Self, Loads: f.ownLoads(now)}
-	if reporter {
-		message.Reports = f.fresh(now)
+// message tells what is known.
+func (f *Fleet) message(now time.Time) Message {
+	m := Message{Full: f.tick%_fullEvery == 1, Zone: ZoneID(f.Self.Zone), Services: f.services}
+	m.From = Member{Name: f.Self.Name, Incarnation: f.Self.Incarnation, Leaving: f.Self.Leaving}
+	if m.Full {
+		m.From = f.Self
 	}
-	var sends []Send
+	m.Beats = append(m.Beats, Beat{ID: f.Self.ID(), Leaving: f.Self.Leaving, Loads: f.ownLoads(now)})
 	for _, s := range f.sorted() {
-		if s.Zone == f.Self.Zone && s.PeerAddress != "" {
-			sends = append(sends, Send{To: s.Member, Message: message})
+		if s.Zone == f.Self.Zone && !f.suspected(now, s) {
+			m.Beats = append(m.Beats, Beat{ID: s.ID(), Age: now.Sub(s.heard), Leaving: s.Leaving, Loads: s.loads})
 		}
 	}
-	return sends
+	if len(f.zones) <= FewZones || f.tick%_manyZonesEvery == 0 {
+		f.tellZones(now, &m)
+	}
+	return m
 }
 
-// reports sends the report of the own zone to one member of each other zone.
-func (f *Fleet) reports(now time.Time) []Send {
-	message := Message{From: f.Self, Reports: []Report{{
-		Zone: f.Self.Zone, Region: f.Self.Region, Members: f.liveHere(now), Loads: f.zoneLoads(now),
-	}}}
-	best := make(map[string]*seen)
-	for _, s := range f.sorted() {
-		if s.Zone == f.Self.Zone || s.PeerAddress == "" {
-			continue
-		}
-		if other, ok := best[s.Zone]; !ok || f.prefer(now, s, other) {
-			best[s.Zone] = s
+// tellZones adds the reports of the other zones, with the rosters that changed
+// lately and some of the others in turn.
+func (f *Fleet) tellZones(now time.Time, m *Message) {
+	ids := make([]ID, 0, len(f.zones))
+	for id, z := range f.zones {
+		if now.Sub(z.made) < StaleAfter {
+			ids = append(ids, id)
 		}
 	}
-	var sends []Send
-	for _, s := range f.sorted() {
-		if best[s.Zone] == s {
-			sends = append(sends, Send{To: s.Member, Message: message})
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	f.turn++
+	for i, id := range ids {
+		z := f.zones[id]
+		beat := z.ZoneBeat
+		beat.Age = now.Sub(z.made)
+		m.Zones = append(m.Zones, beat)
+		inTurn := (i+f.turn)%len(ids) < _rostersInTurn
+		if z.digest == z.Digest && (inTurn || now.Sub(z.changed) < _rosterTime) {
+			m.Rosters = append(m.Rosters, Roster{Zone: id, Members: z.roster})
 		}
 	}
-	return sends
 }
 
-// prefer orders possible receivers of a report: first those that the zone's
-// own report calls live, then those that did not fail, then by rank. The
-// second-best gets every fourth report, so that one dead receiver does not
-// cut a zone off.
-func (f *Fleet) prefer(now time.Time, a, b *seen) bool {
-	liveA, liveB := f.reportedLive(now, a), f.reportedLive(now, b)
-	if liveA != liveB {
-		return liveA
-	}
-	swap := now.UnixMilli()/ReportInterval.Milliseconds()%4 == 3
-	return (rank(a.Member) < rank(b.Member)) != swap
-}
-
-func (f *Fleet) reportedLive(now time.Time, s *seen) bool {
-	for _, m := range f.Live(now, s.Zone) {
-		if m.Name == s.Name {
-			return true
+// next returns the member of the zone to tell next: by doubling distances
+// among those that are alive, and now and then a silent one.
+func (f *Fleet) next(now time.Time) (*seen, bool) {
+	var alive, silent []*seen
+	for _, s := range f.sorted() {
+		switch {
+		case s.Zone != f.Self.Zone || s.PeerAddress == "":
+		case f.suspected(now, s):
+			silent = append(silent, s)
+		default:
+			alive = append(alive, s)
 		}
 	}
-	return false
-}
-
-// fresh returns the reports that the zone has not been passed yet.
-func (f *Fleet) fresh(now time.Time) []Report {
-	var fresh []Report
-	names := make([]string, 0, len(f.zones))
-	for name := range f.zones {
-		names = append(names, name)
+	if len(silent) > 0 && (len(alive) == 0 || f.tick%_reviveEvery == 0) {
+		return silent[f.tick/_reviveEvery%len(silent)], true
 	}
-	sort.Strings(names)
-	for _, name := range names {
-		z := f.zones[name]
-		if !z.made.After(z.passed) || now.Sub(z.made) >= StaleAfter {
+	if len(alive) == 0 {
+		return nil, false
+	}
+	own := sort.Search(len(alive), func(i int) bool { return alive[i].Name > f.Self.Name })
+	distance := 1 << (f.tick % rounds(len(alive)+1))
+	return alive[(own+distance-1)%len(alive)], true
+}
+
+// reports tells other zones of the own one. The members that are alive share
+// the zones by their rank.
+func (f *Fleet) reports(now time.Time, m Message) []Send {
+	here := f.Live(now, f.Self.Zone)
+	rank := sort.Search(len(here), func(i int) bool { return here[i].Name >= f.Self.Name })
+	others := f.otherZones()
+	report := Message{From: m.From, Full: m.Full, Zone: m.Zone, Services: m.Services}
+	roster := make([]ID, len(here))
+	for i, member := range here {
+		roster[i] = member.ID()
+	}
+	report.Zones = []ZoneBeat{{ID: m.Zone, Digest: digestOf(roster), Loads: f.zoneLoads(now)}}
+	report.Rosters = []Roster{{Zone: m.Zone, Members: roster}}
+	var sends []Send
+	for i, members := range others {
+		if len(here) > 0 && i%len(here) != rank%len(here) {
 			continue
 		}
-		z.passed = z.made
-		r := z.Report
-		r.Age = now.Sub(z.made)
-		fresh = append(fresh, r)
+		sends = append(sends, Send{To: f.receiver(now, members), Message: report})
 	}
-	return fresh
+	return sends
 }
 
-func (f *Fleet) takeReport(now time.Time, r Report) {
-	if r.Zone == f.Self.Zone {
-		return
-	}
-	made := now.Add(-r.Age)
-	z, ok := f.zones[r.Zone]
-	if !ok {
-		z = &zone{}
-		f.zones[r.Zone] = z
+// otherZones returns the members of each other zone, in the order of the zones.
+func (f *Fleet) otherZones() [][]*seen {
+	byZone := make(map[string][]*seen)
+	var names []string
+	for _, s := range f.sorted() {
+		if s.Zone == f.Self.Zone || s.Zone == "" || s.PeerAddress == "" {
+			continue
+		}
+		if len(byZone[s.Zone]) == 0 {
+			names = append(names, s.Zone)
+		}
+		byZone[s.Zone] = append(byZone[s.Zone], s)
 	}
-	if !made.After(z.made) {
-		return
+	sort.Strings(names)
+	others := make([][]*seen, len(names))
+	for i, name := range names {
+		others[i] = byZone[name]
 	}
-	z.Report = r
-	z.made = made
-	for _, m := range r.Members {
-		s := f.member(m.Name)
-		if m.Incarnation < s.Incarnation {
-			continue
+	return others
+}
+
+// receiver chooses the member of another zone that is told next, in turn among
+// those that its report calls alive; every fourth time among all.
+func (f *Fleet) receiver(now time.Time, members []*seen) Member {
+	turn := f.tick
+	if turn%_reviveEvery != 0 {
+		if live := f.liveIn(now, members[0].Zone); len(live) > 0 {
+			return live[turn%len(live)]
 		}
-		m.Leaving = m.Leaving || (s.Leaving && m.Incarnation == s.Incarnation)
-		s.Member = m
-		s.listed = now
 	}
+	return members[turn/_reviveEvery%len(members)].Member
 }
 
-func (f *Fleet) ownLoads(now time.Time) []ServiceLoad {
-	if f.Loads == nil {
-		return nil
+func (f *Fleet) reportInterval() time.Duration {
+	if len(f.zones) > FewZones {
+		return 2 * ReportInterval
 	}
-	return f.Loads(now)
+	return ReportInterval
 }
 
-// zoneLoads is the own view of the zone's load. Slots are the same for all
-// members; busy and headroom are sums over them.
-func (f *Fleet) zoneLoads(now time.Time) []ServiceLoad {
-	total := append([]ServiceLoad(nil), f.ownLoads(now)...)
-	for i := range total {
-		for _, s := range f.sorted() {
-			if s.Zone != f.Self.Zone || now.Sub(s.heard) >= SuspectAfter {
-				continue
-			}
-			for _, l := range s.loads {
-				if l.Service == total[i].Service {
-					total[i].Busy += l.Busy
-					total[i].Headroom += l.Headroom
-				}
+func (f *Fleet) ownLoads(now time.Time) []Load {
+	loads := make([]Load, len(f.Services))
+	if f.Loads == nil {
+		return loads
+	}
+	for _, l := range f.Loads(now) {
+		for i, name := range f.Services {
+			if name == l.Service {
+				loads[i] = Load{l.Slots, l.Busy, l.Headroom}
 			}
 		}
 	}
-	return total
+	return loads
 }
 
-// Busy returns the slots that other live members of the zone occupy in a service.
-func (f *Fleet) Busy(now time.Time, service string) int {
-	busy := 0
+// zoneLoads is the own view of the zone's load. Slots are the same for all
+// members; busy and headroom are sums over them.
+func (f *Fleet) zoneLoads(now time.Time) []Load {
+	total := f.ownLoads(now)
 	for _, s := range f.members {
-		if s.Zone != f.Self.Zone || now.Sub(s.heard) >= SuspectAfter {
+		if s.Zone != f.Self.Zone || f.suspected(now, s) {
 			continue
 		}
-		for _, l := range s.loads {
-			if l.Service == service {
-				busy += l.Busy
+		for i := range total {
+			if i < len(s.loads) {
+				total[i].Busy += s.loads[i].Busy
+				total[i].Headroom += s.loads[i].Headroom
 			}
 		}
 	}
-	return busy
+	return total
 }
 
 func (f *Fleet) forget(now time.Time) {
@@ -424,6 +649,7 @@
 		}
 		if now.Sub(newest) >= ForgetAfter {
 			delete(f.members, name)
+			delete(f.byID, s.ID())
 		}
 	}
 }
@@ -437,6 +663,15 @@
 	return list
 }
 
-func rank(m Member) uint64 {
-	return xxhash.Sum64String(m.Zone + "/" + m.Name)
+// rounds is the number of intervals in which news reach n members.
+func rounds(n int) int {
+	return max(bits.Len(uint(n-1)), 1)
+}
+
+func digestOf(ids []ID) ID {
+	hash := xxhash.New()
+	for _, id := range ids {
+		_, _ = hash.Write([]byte{byte(id), byte(id >> 8), byte(id >> 16), byte(id >> 24)})
+	}
+	return ID(hash.Sum64())
 }
--- a/instance/departure.go
+++ b/instance/departure.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonlock/wigeonlock/entry"
-	"github.com/wigeonlock/wigeonlock/fleet"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/lookup"
 	"github.com/wigeonlock/wigeonlock/membership"
@@ -37,7 +36,7 @@
 }
 
 func (d *departure) Stop(ctx context.Context) error {
-	wait := d.settings.LookupTTL() + fleet.SpreadTime + lookup.RefreshInterval
+	wait := d.settings.LookupTTL() + min(d.members.Spread(), _longestSpread) + lookup.RefreshInterval
 	d.log.Info("instance leaves", zap.Duration("servesFor", wait))
 	d.members.Leave(ctx, d.kernel)
 	d.front.Leave()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,7 +18,6 @@
 	backendhttp "github.com/wigeonlock/wigeonlock/backend/http"
 	"github.com/wigeonlock/wigeonlock/dispatch"
 	"github.com/wigeonlock/wigeonlock/entry"
-	"github.com/wigeonlock/wigeonlock/fleet"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/lookup"
 	"github.com/wigeonlock/wigeonlock/membership"
@@ -37,6 +36,9 @@
 	// _settleMargin is added to the longest time that a request occupies a slot.
 	_settleMargin = 2 * time.Second
 	_stopMargin   = 5 * time.Second
+	// _longestSpread bounds the time for which a leaving instance waits until
+	// all others know.
+	_longestSpread = 15 * time.Second
 )
 
 // Options are what an instance needs besides its settings.
@@ -103,7 +105,7 @@
 			keeper, follower, payments, admitter, peers, members, dispatcher, lookups, front,
 			&departure{settings: s, members: members, keeper: keeper, front: front, log: log},
 		},
-		StopTimeout: s.LookupTTL() + fleet.SpreadTime + s.Drain() + _stopMargin,
+		StopTimeout: s.LookupTTL() + _longestSpread + s.Drain() + _stopMargin,
 		Ready:       func() { log.Info("instance started", zap.String("callers", s.Callers.Listen)) },
 	}
 	return i
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -102,6 +102,9 @@
 		},
 		Loads: func(time.Time) []fleet.ServiceLoad { return s.loads },
 	}
+	for _, svc := range s.Settings.Services {
+		s.fleet.Services = append(s.fleet.Services, svc.Name)
+	}
 }
 
 // Start registers the instance and begins to send heartbeats.
@@ -193,10 +196,26 @@
 	s.fleet.Receive(now, h.Message)
 	ctx := s.ctx
 	s.mu.Unlock()
-	if ctx == nil || h.From.PeerAddress == "" {
-		return
+	if address := s.addressOf(h.From); ctx != nil && address != "" {
+		s.Lists.Heard(ctx, now, h.ListsVersion, h.ConfirmAge, s.Peers.Client().Source(address))
+	}
+}
+
+// addressOf returns the peer address of a sender, which most messages leave out.
+func (s *Service) addressOf(from fleet.Member) string {
+	if from.PeerAddress != "" {
+		return from.PeerAddress
 	}
-	s.Lists.Heard(ctx, now, h.ListsVersion, h.ConfirmAge, s.Peers.Client().Source(h.From.PeerAddress))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.PeerAddress(from.Name)
+}
+
+// Spread is the time until all instances know that this one is leaving.
+func (s *Service) Spread() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Spread()
 }
 
 // Live returns the members of a zone that take work.
@@ -405,7 +424,7 @@
 		if rec.Kind == platform.Entry {
 			members = append(members, fleet.Member{
 				Name: rec.Name, Region: rec.Region, Zone: rec.Zone,
-				Address: rec.Address, PeerAddress: rec.PeerAddress, Leaving: rec.State == platform.Leaving,
+				Address: rec.Address, PeerAddress: rec.PeerAddress, Incarnation: rec.Incarnation, Leaving: rec.State == platform.Leaving,
 			})
 		}
 	}
@@ -428,7 +447,7 @@
 	}
 	err := s.Directory.Register(ctx, platform.Record{
 		Name: self.Name, Kind: platform.Entry, State: state, Region: self.Region, Zone: self.Zone,
-		Address: self.Address, PeerAddress: self.PeerAddress,
+		Address: self.Address, PeerAddress: self.PeerAddress, Incarnation: self.Incarnation,
 	}, _registerTTL)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		s.Log.Warn("instance could not be registered", zap.Error(err))
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -79,34 +79,55 @@
 
 func gossip(h Heartbeat) *wire.Gossip {
 	g := &wire.Gossip{
-		From: memberTo(h.From), Loads: loadsTo(h.Loads),
+		From: memberTo(h.From), Full: h.Full, Zone: uint32(h.Zone), Services: uint32(h.Services),
 		ListsVersion: h.ListsVersion, ConfirmAgeMs: millis(h.ConfirmAge),
 	}
-	for _, r := range h.Reports {
-		report := &wire.ZoneReport{Zone: r.Zone, Region: r.Region, AgeMs: millis(r.Age), Loads: loadsTo(r.Loads)}
-		for _, m := range r.Members {
-			report.Members = append(report.Members, memberTo(m))
+	for _, b := range h.Beats {
+		g.Beats = append(g.Beats, &wire.Beat{
+			Id: uint32(b.ID), AgeMs: millis(b.Age), Leaving: b.Leaving, Loads: loadsTo(b.Loads),
+		})
+	}
+	for _, z := range h.Zones {
+		g.Zones = append(g.Zones, &wire.ZoneBeat{
+			Id: uint32(z.ID), AgeMs: millis(z.Age), Digest: uint32(z.Digest), Loads: loadsTo(z.Loads),
+		})
+	}
+	for _, r := range h.Rosters {
+		roster := &wire.Roster{Zone: uint32(r.Zone)}
+		for _, id := range r.Members {
+			roster.Members = append(roster.Members, uint32(id))
 		}
-		g.Reports = append(g.Reports, report)
+		g.Rosters = append(g.Rosters, roster)
 	}
 	return g
 }
 
 func heartbeatOf(g *wire.Gossip) Heartbeat {
 	h := Heartbeat{
-		Message:      fleet.Message{From: memberFrom(g.GetFrom()), Loads: loadsFrom(g.GetLoads())},
+		Message: fleet.Message{
+			From: memberFrom(g.GetFrom()), Full: g.GetFull(), Zone: fleet.ID(g.GetZone()), Services: fleet.ID(g.GetServices()),
+		},
 		ListsVersion: g.GetListsVersion(),
 		ConfirmAge:   time.Duration(g.GetConfirmAgeMs()) * time.Millisecond,
 	}
-	for _, r := range g.GetReports() {
-		report := fleet.Report{
-			Zone: r.GetZone(), Region: r.GetRegion(), Loads: loadsFrom(r.GetLoads()),
-			Age: time.Duration(r.GetAgeMs()) * time.Millisecond,
+	for _, b := range g.GetBeats() {
+		h.Beats = append(h.Beats, fleet.Beat{
+			ID: fleet.ID(b.GetId()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond,
+			Leaving: b.GetLeaving(), Loads: loadsFrom(b.GetLoads()),
+		})
+	}
+	for _, z := range g.GetZones() {
+		h.Zones = append(h.Zones, fleet.ZoneBeat{
+			ID: fleet.ID(z.GetId()), Age: time.Duration(z.GetAgeMs()) * time.Millisecond,
+			Digest: fleet.ID(z.GetDigest()), Loads: loadsFrom(z.GetLoads()),
+		})
+	}
+	for _, r := range g.GetRosters() {
+		roster := fleet.Roster{Zone: fleet.ID(r.GetZone())}
+		for _, id := range r.GetMembers() {
+			roster.Members = append(roster.Members, fleet.ID(id))
 		}
-		for _, m := range r.GetMembers() {
-			report.Members = append(report.Members, memberFrom(m))
-		}
-		h.Reports = append(h.Reports, report)
+		h.Rosters = append(h.Rosters, roster)
 	}
 	return h
 }
@@ -125,24 +146,23 @@
 	}
 }
 
-func loadsTo(loads []fleet.ServiceLoad) []*wire.ServiceLoad {
-	list := make([]*wire.ServiceLoad, len(loads))
-	for i, l := range loads {
-		list[i] = &wire.ServiceLoad{
-			Service: l.Service, Slots: uint32(l.Slots), Busy: uint32(l.Busy), Headroom: uint32(l.Headroom),
-		}
+// _loadFields is the number of values for each service in a list of loads.
+const _loadFields = 3
+
+func loadsTo(loads []fleet.Load) []uint32 {
+	list := make([]uint32, 0, _loadFields*len(loads))
+	for _, l := range loads {
+		list = append(list, uint32(l.Slots), uint32(l.Busy), uint32(l.Headroom))
 	}
 	return list
 }
 
-func loadsFrom(loads []*wire.ServiceLoad) []fleet.ServiceLoad {
-	list := make([]fleet.ServiceLoad, len(loads))
-	for i, l := range loads {
-		list[i] = fleet.ServiceLoad{
-			Service: l.GetService(), Slots: int(l.GetSlots()), Busy: int(l.GetBusy()), Headroom: int(l.GetHeadroom()),
-		}
+func loadsFrom(list []uint32) []fleet.Load {
+	loads := make([]fleet.Load, 0, len(list)/_loadFields)
+	for ; len(list) >= _loadFields; list = list[_loadFields:] {
+		loads = append(loads, fleet.Load{Slots: int(list[0]), Busy: int(list[1]), Headroom: int(list[2])})
 	}
-	return list
+	return loads
 }
 
 // millis rounds a duration up, so that an age is never understated.
