--- a/cmd/wigeonlock/measure.go
+++ b/cmd/wigeonlock/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/urfave/cli/v3"
 
@@ -19,6 +20,7 @@
 			measurement("control", "control traffic of 10 to 540 instances", measure.Control),
 			measurement("rollout", "time until an accepted edit is in force, beside polling", measure.Rollout),
 			measurement("quota", "use of a shift cap by escrow, beside an equal split and one counter", measure.Quota),
+			capacityCommand(),
 			measurement("payment", "claims of payments, beside one swap per claim", measure.Payment),
 		},
 	}
@@ -51,3 +53,43 @@
 		},
 	}
 }
+
+// capacityCommand measures what docs/CAPACITY.md is worked out from.
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure the slopes of the capacity page, and write its tables",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of random choices"},
+			&cli.StringFlag{Name: "page", Usage: "rewrite the marked tables of this `FILE`; printed if empty"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, stop := untilSignal(ctx)
+			defer stop()
+			tables, err := measure.Capacity(ctx, measure.Options{
+				Seed: c.Uint64("seed"), Progress: progressTo(c.Root().ErrWriter),
+			})
+			if err != nil {
+				return err
+			}
+			page := c.String("page")
+			if page == "" {
+				for _, t := range tables {
+					if _, err = fmt.Fprintf(c.Root().Writer, "%s\n%s\n", t.Name, t.Markdown); err != nil {
+						return err
+					}
+				}
+				return nil
+			}
+			data, err := os.ReadFile(page)
+			if err != nil {
+				return err
+			}
+			next, err := measure.Rewrite(string(data), tables)
+			if err != nil {
+				return err
+			}
+			return os.WriteFile(page, []byte(next), 0o644)
+		},
+	}
+}
--- a/relay/whole_test.go
+++ b/relay/whole_test.go
@@ -149,8 +149,10 @@
 
 func TestEndToEnd(t *testing.T) {
 	got := relay.EndToEnd([]relay.Header{
-		{Name: "Connection", Value: "close, X-Private"}, {Name: "x-private", Value: "1"},
-		{Name: "Transfer-Encoding", Value: "chunked"}, {Name: "Accept", Value: "*/*"},
+		{Name: "Connection", Value: "close, X-Private"},
+		{Name: "x-private", Value: "1"},
+		{Name: "Transfer-Encoding", Value: "chunked"},
+		{Name: "Accept", Value: "*/*"},
 	})
 	assert.Equal(t, []relay.Header{{Name: "Accept", Value: "*/*"}}, got)
 }
--- a/store/suite/suite.go
+++ b/store/suite/suite.go
@@ -70,8 +70,8 @@
 	require.NoError(t, err)
 	got := make(chan store.Entry, 1)
 	go func() {
-		e, err := s.Watch(ctx, "k", v, _long)
-		assert.NoError(t, err)
+		e, watchErr := s.Watch(ctx, "k", v, _long)
+		assert.NoError(t, watchErr)
 		got <- e
 	}()
 	_, err = s.Swap(ctx, "other", 0, []byte("x"), "")
