--- a/admission/admission.go
+++ b/admission/admission.go
@@ -77,7 +77,7 @@
 	// Seed seeds the choice of workers.
 	Seed uint64
 
-	stations  map[string]*station
+	stations  map[string]*post
 	transport map[string]*backendhttp.Transport
 
 	mu         sync.Mutex
@@ -95,11 +95,11 @@
 
 // Start begins to probe the workers.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	s.stations = make(map[string]*station, len(s.Settings.Services))
+	s.stations = make(map[string]*post, len(s.Settings.Services))
 	s.transport = make(map[string]*backendhttp.Transport, len(s.Settings.Services))
 	s.rates = make(map[string]*limit.Bucket)
 	for i, svc := range s.Settings.Services {
-		s.stations[svc.Name] = newStation(svc.Name, s.Seed+uint64(i))
+		s.stations[svc.Name] = newPost(svc.Name, s.Seed+uint64(i))
 		s.transport[svc.Name] = &backendhttp.Transport{Connections: svc.ConnectionsPerWorker / 2}
 		k.Go(ServiceName, func(ctx context.Context) error { return s.probe(ctx, svc.Name) })
 	}
@@ -133,8 +133,8 @@
 	}
 	for name, st := range s.stations {
 		st.mu.Lock()
-		st.pool.Listed(now, byService[name])
-		st.serveQueue(now)
+		st.Pool.Listed(now, byService[name])
+		deliver(st.Serve(now))
 		st.mu.Unlock()
 		s.transport[name].Keep(addresses)
 	}
@@ -145,7 +145,7 @@
 	n := 0
 	for _, st := range s.stations {
 		st.mu.Lock()
-		n += len(st.pool.Names())
+		n += len(st.Pool.Names())
 		st.mu.Unlock()
 	}
 	return n
@@ -158,9 +158,9 @@
 		st := s.stations[svc.Name]
 		busy := s.Fleet.Busy(now, svc.Name)
 		st.mu.Lock()
-		slots, inFlight := st.pool.Load(now)
+		slots, inFlight := st.Pool.Load(now)
 		loads = append(loads, fleet.ServiceLoad{
-			Service: svc.Name, Slots: slots, Busy: inFlight, Headroom: st.movedRoom(now, busy),
+			Service: svc.Name, Slots: slots, Busy: inFlight, Headroom: st.Headroom(now, busy),
 		})
 		st.mu.Unlock()
 	}
@@ -176,11 +176,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	slots, _ := st.pool.Load(now)
-	if st.queue.Len() == 0 {
-		free = st.pool.Free(now)
-	}
-	return free, st.expectedWait(now), slots > 0
+	return st.Room(now)
 }
 
 // Carry admits a request, runs it on a worker of the own zone and returns the
@@ -331,7 +327,7 @@
 	answer, result := s.transport[r.Service].Carry(ctx, w, r)
 	if result == backend.Refused && relay.Get(answer.Header, relay.HeaderDraining) != "" {
 		st.mu.Lock()
-		st.pool.Drains(w.Name)
+		st.Pool.Drains(w.Name)
 		st.mu.Unlock()
 	}
 	if answer.Outcome != retry.Run {
@@ -358,48 +354,41 @@
 	return n, err
 }
 
-func (s *Service) finish(st *station, w backend.Worker, result backend.Result, latency time.Duration) {
+func (s *Service) finish(st *post, w backend.Worker, result backend.Result, latency time.Duration) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.done(time.Now(), w.Name, result, latency)
+	deliver(st.Done(time.Now(), w.Name, result, latency))
 }
 
-// take returns a worker with a slot taken. Moved work gets one only within
-// the room for it; the zone's own callers may wait in the queue.
-func (s *Service) take(ctx context.Context, st *station, r *relay.Request, priority int) (backend.Worker, *relay.Answer) {
+// take returns a worker with a slot taken, now or after waiting for it.
+func (s *Service) take(ctx context.Context, st *post, r *relay.Request, priority int) (backend.Worker, *relay.Answer) {
 	now := time.Now()
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = now.Add(s.Settings.LongestTimeout())
 	}
-	moved := r.FromZone != s.Settings.Zone
 	here, busy := s.Fleet.Here(now), s.Fleet.Busy(now, r.Service)
+	t := &ticket{grant: make(chan backend.Worker, 1)}
 
 	st.mu.Lock()
-	st.pool.Instances = here
-	if moved && st.movedRoom(now, busy) == 0 {
-		st.mu.Unlock()
-		return backend.Worker{}, relay.NotRun(relay.NoRoom)
-	}
-	w, ok := st.pick(now, r.Tried)
-	if ok {
-		st.mu.Unlock()
-		return w, nil
-	}
-	if moved {
-		st.mu.Unlock()
-		return backend.Worker{}, relay.NotRun(relay.NoRoom)
-	}
-	t := &ticket{tried: r.Tried, grant: make(chan backend.Worker, 1)}
-	refusal := st.enqueue(now, t, priority, deadline)
+	st.Pool.Instances = here
+	verdict, lost := st.Take(now, Arrival[*ticket]{
+		Value: t, Moved: r.FromZone != s.Settings.Zone, Tried: r.Tried, Priority: priority, Deadline: deadline,
+		BusyElsewhere: busy,
+	})
+	deliver(lost)
 	st.mu.Unlock()
-	if refusal != nil {
-		return backend.Worker{}, refusal
+	switch {
+	case verdict.Granted:
+		return verdict.Worker, nil
+	case verdict.Queued:
+		return s.wait(ctx, st, t)
+	default:
+		return backend.Worker{}, relay.NotRun(verdict.Refusal)
 	}
-	return s.wait(ctx, st, t)
 }
 
-func (s *Service) wait(ctx context.Context, st *station, t *ticket) (backend.Worker, *relay.Answer) {
+func (s *Service) wait(ctx context.Context, st *post, t *ticket) (backend.Worker, *relay.Answer) {
 	select {
 	case w, ok := <-t.grant:
 		if !ok {
@@ -410,9 +399,9 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if !st.queue.Remove(func(other *ticket) bool { return other == t }) && !t.lost {
+	if !st.Cancel(t) && !t.lost {
 		w := <-t.grant // granted at the same moment
-		st.done(time.Now(), w.Name, backend.Cancelled, 0)
+		deliver(st.Done(time.Now(), w.Name, backend.Cancelled, 0))
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return backend.Worker{}, relay.NotRun(relay.TooLate)
@@ -431,7 +420,7 @@
 		case now := <-ticker.C:
 			for _, st := range s.stations {
 				st.mu.Lock()
-				st.serveQueue(now)
+				deliver(st.Serve(now))
 				st.mu.Unlock()
 			}
 		}
--- a/admission/probe.go
+++ b/admission/probe.go
@@ -17,7 +17,7 @@
 	st := s.stations[service]
 	for {
 		st.mu.Lock()
-		names := st.pool.Names()
+		names := st.Pool.Names()
 		st.mu.Unlock()
 
 		probes := pool.New().WithMaxGoroutines(_probesAtOnce)
@@ -34,9 +34,9 @@
 	}
 }
 
-func (s *Service) probeWorker(ctx context.Context, st *station, service, name string) {
+func (s *Service) probeWorker(ctx context.Context, st *post, service, name string) {
 	st.mu.Lock()
-	address, ok := st.pool.Address(name)
+	address, ok := st.Pool.Address(name)
 	st.mu.Unlock()
 	if !ok {
 		return
@@ -50,6 +50,6 @@
 	now := time.Now()
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.pool.Reported(now, name, load.Busy, load.Draining)
-	st.serveQueue(now)
+	st.Pool.Reported(now, name, load.Busy, load.Draining)
+	deliver(st.Serve(now))
 }
--- a/admission/station.go
+++ b/admission/station.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/wigeonlock/wigeonlock/backend"
@@ -14,7 +13,6 @@
 	// TargetUse is the share of the slots that moved work may fill; the rest
 	// is kept for the zone's own callers.
 	TargetUse = 0.85
-
 	// MaxQueueTime is the longest time for which requests are queued.
 	MaxQueueTime = 200 * time.Millisecond
 
@@ -23,21 +21,48 @@
 	_trendTime = time.Second
 )
 
-// station is one service in the own zone: its workers and its queue.
-type station struct {
-	mu    sync.Mutex
-	rng   *rand.Rand
-	pool  backend.Pool
-	queue limit.Queue[*ticket]
+// Station decides which requests of one service get which worker of the own
+// zone. T identifies a request that waits. It does no I/O and is not safe for
+// concurrent use.
+type Station[T comparable] struct {
+	// Pool has the workers.
+	Pool backend.Pool
+	// Rand makes the random choices.
+	Rand *rand.Rand
+
+	queue limit.Queue[T]
 	mean  time.Duration
 	trend trend
 }
 
-// ticket is a request that waits for a worker.
-type ticket struct {
-	tried []string
-	grant chan backend.Worker
-	lost  bool
+// Arrival is a request that asks for a worker.
+type Arrival[T comparable] struct {
+	Value T
+	// Moved tells that it comes from another zone.
+	Moved bool
+	// Tried names the workers tried already.
+	Tried    []string
+	Priority int
+	Deadline time.Time
+	// BusyElsewhere are the slots that the other instances of the zone occupy.
+	BusyElsewhere int
+}
+
+// Verdict is what becomes of an arrival: a worker, a place in the queue, or a
+// refusal.
+type Verdict struct {
+	Worker  backend.Worker
+	Granted bool
+	Queued  bool
+	// Refusal is set if neither.
+	Refusal relay.Reason
+}
+
+// Grant is a worker for a request that waited, or the news that it lost its place.
+type Grant[T comparable] struct {
+	Value  T
+	Worker backend.Worker
+	Lost   bool
 }
 
 // trend follows the growth of the slots in use.
@@ -61,88 +86,115 @@
 	t.inUse = inUse
 }
 
-func newStation(service string, seed uint64) *station {
-	return &station{
-		rng:  rand.New(rand.NewPCG(seed, uint64(len(service)))),
-		pool: backend.Pool{Service: service},
-		mean: _firstMean,
+// Take asks for a worker. Moved work gets one only within the room for it; the
+// zone's own may wait. Requests that lose their place to this one are returned.
+func (s *Station[T]) Take(now time.Time, a Arrival[T]) (Verdict, []Grant[T]) {
+	if a.Moved && s.Headroom(now, a.BusyElsewhere) == 0 {
+		return Verdict{Refusal: relay.NoRoom}, nil
 	}
-}
-
-// pick takes a slot now, if there is one.
-func (s *station) pick(now time.Time, tried []string) (backend.Worker, bool) {
-	if s.queue.Len() > 0 {
-		return backend.Worker{}, false
+	if s.queue.Len() == 0 {
+		if w, ok := s.Pool.Pick(now, s.Rand, backend.Limits{Exclude: a.Tried}); ok {
+			return Verdict{Worker: w, Granted: true}, nil
+		}
 	}
-	return s.pool.Pick(now, s.rng, backend.Limits{Exclude: tried})
-}
-
-// expectedWait is the time that the next request would wait in the queue.
-func (s *station) expectedWait(now time.Time) time.Duration {
-	slots, _ := s.pool.Load(now)
-	return s.mean * time.Duration(s.queue.Len()+1) / time.Duration(max(slots/max(s.pool.Instances, 1), 1))
+	if a.Moved {
+		return Verdict{Refusal: relay.NoRoom}, nil
+	}
+	return s.enqueue(now, a)
 }
 
-// enqueue adds a request that may wait until its deadline less the mean time
-// that a request takes.
-func (s *station) enqueue(now time.Time, t *ticket, priority int, deadline time.Time) *relay.Answer {
-	slots, _ := s.pool.Load(now)
+// enqueue lets a request wait until its deadline less twice the mean time that
+// a request takes.
+func (s *Station[T]) enqueue(now time.Time, a Arrival[T]) (Verdict, []Grant[T]) {
+	slots, _ := s.Pool.Load(now)
 	if slots == 0 {
-		return relay.NotRun(relay.NoRoom)
+		return Verdict{Refusal: relay.NoRoom}, nil
 	}
-	latest := deadline.Add(-2 * s.mean)
+	latest := a.Deadline.Add(-2 * s.meanTime())
 	if now.Add(s.expectedWait(now)).After(latest) {
-		return relay.NotRun(relay.TooLate)
-	}
-	perSlot := int(MaxQueueTime / max(s.mean, time.Millisecond))
-	s.queue.Max = slots * max(perSlot, 1) / max(s.pool.Instances, 1)
-	dropped, ok := s.queue.Push(limit.Waiter[*ticket]{Priority: priority, Deadline: latest, Value: t})
-	for _, d := range dropped {
-		d.Value.lost = true
-		close(d.Value.grant)
+		return Verdict{Refusal: relay.TooLate}, nil
 	}
+	perSlot := int(MaxQueueTime / max(s.meanTime(), time.Millisecond))
+	s.queue.Max = slots * max(perSlot, 1) / max(s.Pool.Instances, 1)
+	dropped, ok := s.queue.Push(limit.Waiter[T]{Priority: a.Priority, Deadline: latest, Value: a.Value})
+	lost := lose(nil, dropped)
 	if !ok {
-		return relay.NotRun(relay.QueueFull)
+		return Verdict{Refusal: relay.QueueFull}, lost
 	}
-	return nil
+	return Verdict{Queued: true}, lost
 }
 
-// done ends a request and hands free slots to the queue.
-func (s *station) done(now time.Time, worker string, result backend.Result, latency time.Duration) {
-	s.pool.Done(now, worker, result, latency)
+// Done ends a request at a worker and hands free slots to those that wait.
+func (s *Station[T]) Done(now time.Time, worker string, result backend.Result, latency time.Duration) []Grant[T] {
+	s.Pool.Done(now, worker, result, latency)
 	if result == backend.Answered {
-		s.mean = time.Duration(_meanDecay*float64(s.mean) + (1-_meanDecay)*float64(latency))
+		s.mean = time.Duration(_meanDecay*float64(s.meanTime()) + (1-_meanDecay)*float64(latency))
 	}
-	s.serveQueue(now)
+	return s.Serve(now)
 }
 
-func (s *station) serveQueue(now time.Time) {
+// Serve hands free slots to the requests that wait.
+func (s *Station[T]) Serve(now time.Time) []Grant[T] {
+	var grants []Grant[T]
 	for s.queue.Len() > 0 {
-		w, ok := s.pool.Pick(now, s.rng, backend.Limits{})
+		w, ok := s.Pool.Pick(now, s.Rand, backend.Limits{})
 		if !ok {
-			return
+			break
 		}
 		next, expired, ok := s.queue.Pop(now)
-		for _, e := range expired {
-			e.Value.lost = true
-			close(e.Value.grant)
-		}
+		grants = lose(grants, expired)
 		if !ok {
-			s.pool.Done(now, w.Name, backend.Cancelled, 0)
-			return
+			s.Pool.Done(now, w.Name, backend.Cancelled, 0)
+			break
 		}
-		next.Value.grant <- w
+		grants = append(grants, Grant[T]{Value: next.Value, Worker: w})
 	}
+	return grants
 }
 
-// movedRoom is the number of further requests that may come from other zones:
+// Cancel takes a request out of the queue and reports whether it was there.
+func (s *Station[T]) Cancel(value T) bool {
+	return s.queue.Remove(func(other T) bool { return other == value })
+}
+
+// Room tells how many slots are free at once, how long the next request would
+// wait otherwise, and whether there are workers at all.
+func (s *Station[T]) Room(now time.Time) (free int, wait time.Duration, workers bool) {
+	slots, _ := s.Pool.Load(now)
+	if s.queue.Len() == 0 {
+		free = s.Pool.Free(now)
+	}
+	return free, s.expectedWait(now), slots > 0
+}
+
+// Headroom is the number of further requests that may come from other zones:
 // within this instance's part of the target, and within the target of the
 // zone less the trend of its own load.
-func (s *station) movedRoom(now time.Time, busyElsewhere int) int {
-	slots, inFlight := s.pool.Load(now)
+func (s *Station[T]) Headroom(now time.Time, busyElsewhere int) int {
+	slots, inFlight := s.Pool.Load(now)
 	s.trend.observe(now, inFlight)
 	target := int(float64(slots) * TargetUse)
-	part := target / max(s.pool.Instances, 1)
+	part := target / max(s.Pool.Instances, 1)
 	reserve := int(max(s.trend.growth, 0))
 	return max(min(part-inFlight, target-inFlight-busyElsewhere)-s.queue.Len()-reserve, 0)
 }
+
+// expectedWait is the time that the next request would wait in the queue.
+func (s *Station[T]) expectedWait(now time.Time) time.Duration {
+	slots, _ := s.Pool.Load(now)
+	return s.meanTime() * time.Duration(s.queue.Len()+1) / time.Duration(max(slots/max(s.Pool.Instances, 1), 1))
+}
+
+func (s *Station[T]) meanTime() time.Duration {
+	if s.mean == 0 {
+		s.mean = _firstMean
+	}
+	return s.mean
+}
+
+func lose[T comparable](grants []Grant[T], waiters []limit.Waiter[T]) []Grant[T] {
+	for _, w := range waiters {
+		grants = append(grants, Grant[T]{Value: w.Value, Lost: true})
+	}
+	return grants
+}
--- a/cmd/wigeonlock/measure.go
+++ b/cmd/wigeonlock/measure.go
@@ -18,6 +18,7 @@
 			measurement("forward", "latency that one and two hops add to a direct call", measure.Forward),
 			measurement("lookup", "look-ups at 130,000 blocks, 63 sites and 540 instances", measure.Lookup),
 			measurement("control", "control traffic of 10 to 540 instances", measure.Control),
+			measurement("policy", "decisions under load and faults, beside simpler policies", measure.Policy),
 			measurement("rollout", "time until an accepted edit is in force, beside polling", measure.Rollout),
 			measurement("quota", "use of a shift cap by escrow, beside an equal split and one counter", measure.Quota),
 			capacityCommand(),
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -89,8 +89,7 @@
 	Seed uint64
 
 	mu      sync.Mutex
-	rng     *rand.Rand
-	steer   steer.Steer
+	planner Planner
 	budget  retry.Budget
 	budgets map[string]*retry.Budget
 }
@@ -108,8 +107,10 @@
 
 // Start prepares the routes to the other zones.
 func (s *Service) Start(context.Context, *kernel.Kernel) error {
-	s.rng = rand.New(rand.NewPCG(s.Seed, 1))
-	s.steer = steer.Steer{Zone: s.Settings.Zone, Region: s.Settings.Region, Routes: Routes(s.Settings)}
+	s.planner = Planner{
+		Zone: s.Settings.Zone, Region: s.Settings.Region, Rand: rand.New(rand.NewPCG(s.Seed, 1)),
+		Steer: steer.Steer{Zone: s.Settings.Zone, Region: s.Settings.Region, Routes: Routes(s.Settings)},
+	}
 	s.budget = retry.Budget{Share: RetryShare, Burst: RetryBurst}
 	s.budgets = make(map[string]*retry.Budget)
 	return nil
@@ -174,7 +175,7 @@
 // carry tries zones and workers until the request ran or may not be tried again.
 func (s *Service) carry(ctx context.Context, r *relay.Request, tenant *plan.Tenant) *relay.Answer {
 	s.firstTry(r.Service)
-	j := &journey{request: r, tenant: tenant}
+	j := &Journey{Service: r.Service, Home: tenant.HomeRegion, Shift: tenant.Plan.ShiftSlots > 0, Tried: r.Tried}
 	for range _maxTries {
 		dest, ok := s.choose(j)
 		if !ok {
@@ -182,50 +183,56 @@
 		}
 		// A refusal before anything was sent to a worker costs no worker
 		// anything; what was sent once is only sent again within the budget.
-		if j.sent && !s.retryBudget(r.Service, j.last.Reason) {
+		if j.Sent && !s.retryBudget(r.Service, j.Last.Reason) {
 			break
 		}
+		r.Tried = j.Tried
 		answer := s.attempt(ctx, r, dest)
 		if answer.Outcome == retry.Run {
 			return s.resumable(ctx, r, tenant, answer)
 		}
-		j.note(dest, answer)
+		j.Note(dest, answer)
 		if !retry.Allowed(r.Method, answer.Outcome) || !r.Body.Replayable() || ctx.Err() != nil {
 			break
 		}
 	}
-	if j.result == nil {
+	if j.Result == nil {
 		return relay.NotRun(relay.NoRoom)
 	}
-	return j.result
+	return j.Result
 }
 
-func (s *Service) pickMember(now time.Time, zone string) (fleet.Member, bool) {
-	members := s.Fleet.Live(now, zone)
-	if len(members) == 0 {
-		return fleet.Member{}, false
-	}
-	return members[s.rng.IntN(len(members))], true
+// choose returns the next destination of a journey.
+func (s *Service) choose(j *Journey) (Destination, bool) {
+	now := time.Now()
+	free, wait, workers := s.Here.Room(now, j.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.planner.Choose(now, j, Surroundings{
+		Free: free, Wait: wait, Workers: workers,
+		View: func(zone, service string) steer.View { return s.Fleet.View(now, zone, service) },
+		Live: func(zone string) []fleet.Member { return s.Fleet.Live(now, zone) },
+	})
 }
 
 // attempt sends the request to one destination. An idempotent request leaves
 // time for another attempt, in case the connection went silent.
-func (s *Service) attempt(ctx context.Context, r *relay.Request, d destination) *relay.Answer {
-	countAttempt(d.here)
+func (s *Service) attempt(ctx context.Context, r *relay.Request, d Destination) *relay.Answer {
+	countAttempt(d.Here)
 	attemptCtx, cancel := s.attemptContext(ctx, r)
 	defer cancel()
-	if d.here {
+	if d.Here {
 		return relay.Buffer(s.Here.Carry(attemptCtx, r))
 	}
 	s.mu.Lock()
-	s.steer.Begin(time.Now(), d.zone, r.Service)
+	s.planner.Steer.Begin(time.Now(), d.Zone, r.Service)
 	s.mu.Unlock()
-	answer := relay.Buffer(s.Peers.Client().Carry(attemptCtx, d.member.PeerAddress, r))
+	answer := relay.Buffer(s.Peers.Client().Carry(attemptCtx, d.Member.PeerAddress, r))
 	s.mu.Lock()
-	s.steer.End(time.Now(), d.zone, r.Service, steerResult(answer))
+	s.planner.Steer.End(time.Now(), d.Zone, r.Service, steerResult(answer))
 	s.mu.Unlock()
 	if answer.Reason == relay.PeerUnreachable {
-		s.Fleet.Failed(d.member.Name)
+		s.Fleet.Failed(d.Member.Name)
 	}
 	return answer
 }
