--- a/admission/admission.go
+++ b/admission/admission.go
@@ -167,12 +167,11 @@
 	return loads
 }
 
-// Room tells whether a request would find a slot at once, and otherwise how
-// long it would wait.
-func (s *Service) Room(now time.Time, service string) (free int, wait time.Duration, workers bool) {
+// Room tells what a request would find.
+func (s *Service) Room(now time.Time, service string) Room {
 	st, ok := s.stations[service]
 	if !ok {
-		return 0, 0, false
+		return Room{}
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -319,7 +318,7 @@
 // run takes a slot and sends the request to its worker.
 func (s *Service) run(ctx context.Context, r *relay.Request, t *plan.Tenant) *relay.Answer {
 	st := s.stations[r.Service]
-	w, refusal := s.take(ctx, st, r, t.Plan.Priority)
+	w, refusal := s.take(ctx, st, r, t)
 	if refusal != nil {
 		return refusal
 	}
@@ -361,7 +360,7 @@
 }
 
 // take returns a worker with a slot taken, now or after waiting for it.
-func (s *Service) take(ctx context.Context, st *post, r *relay.Request, priority int) (backend.Worker, *relay.Answer) {
+func (s *Service) take(ctx context.Context, st *post, r *relay.Request, tenant *plan.Tenant) (backend.Worker, *relay.Answer) {
 	now := time.Now()
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -373,8 +372,8 @@
 	st.mu.Lock()
 	st.Pool.Instances = here
 	verdict, lost := st.Take(now, Arrival[*ticket]{
-		Value: t, Moved: r.FromZone != s.Settings.Zone, Tried: r.Tried, Priority: priority, Deadline: deadline,
-		BusyElsewhere: busy,
+		Value: t, Moved: r.FromZone != s.Settings.Zone || tenant.HomeRegion != s.Settings.Region,
+		Tried: r.Tried, Priority: tenant.Plan.Priority, Deadline: deadline, BusyElsewhere: busy,
 	})
 	deliver(lost)
 	st.mu.Unlock()
--- a/admission/station.go
+++ b/admission/station.go
@@ -38,7 +38,7 @@
 // Arrival is a request that asks for a worker.
 type Arrival[T comparable] struct {
 	Value T
-	// Moved tells that it comes from another zone.
+	// Moved tells that it comes from another zone, or that its home is another region.
 	Moved bool
 	// Tried names the workers tried already.
 	Tried    []string
@@ -89,7 +89,7 @@
 // Take asks for a worker. Moved work gets one only within the room for it; the
 // zone's own may wait. Requests that lose their place to this one are returned.
 func (s *Station[T]) Take(now time.Time, a Arrival[T]) (Verdict, []Grant[T]) {
-	if a.Moved && s.Headroom(now, a.BusyElsewhere) == 0 {
+	if a.Moved && (s.Headroom(now, a.BusyElsewhere) == 0 || s.Pool.Crowded(now)) {
 		return Verdict{Refusal: relay.NoRoom}, nil
 	}
 	if s.queue.Len() == 0 {
@@ -157,14 +157,26 @@
 	return s.queue.Remove(func(other T) bool { return other == value })
 }
 
-// Room tells how many slots are free at once, how long the next request would
-// wait otherwise, and whether there are workers at all.
-func (s *Station[T]) Room(now time.Time) (free int, wait time.Duration, workers bool) {
+// Room is what a request would find.
+type Room struct {
+	// Free are the slots free at once.
+	Free int
+	// Wait is the time that the next request would wait if none is.
+	Wait time.Duration
+	// Work is the mean time that a request occupies a slot.
+	Work time.Duration
+	// Workers tells whether there are workers at all.
+	Workers bool
+}
+
+// Room tells what the next request would find.
+func (s *Station[T]) Room(now time.Time) Room {
 	slots, _ := s.Pool.Load(now)
+	r := Room{Wait: s.expectedWait(now), Work: s.meanTime(), Workers: slots > 0}
 	if s.queue.Len() == 0 {
-		free = s.Pool.Free(now)
+		r.Free = s.Pool.Free(now)
 	}
-	return free, s.expectedWait(now), slots > 0
+	return r
 }
 
 // Headroom is the number of further requests that may come from other zones:
--- /dev/null
+++ b/admission/station_test.go
@@ -0,0 +1,142 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/admission"
+	"github.com/wigeonlock/wigeonlock/backend"
+	"github.com/wigeonlock/wigeonlock/relay"
+)
+
+var _now = time.Unix(1000, 0)
+
+func newStation(workers, slots int) *admission.Station[string] {
+	s := &admission.Station[string]{Rand: rand.New(rand.NewPCG(1, 2))}
+	list := make([]backend.Worker, workers)
+	for i := range list {
+		list[i] = backend.Worker{Name: fmt.Sprint("w", i), Address: fmt.Sprint("a", i), Slots: slots}
+	}
+	s.Pool.Listed(_now, list)
+	return s
+}
+
+func arrival(name string, priority int) admission.Arrival[string] {
+	return admission.Arrival[string]{Value: name, Priority: priority, Deadline: _now.Add(2 * time.Second)}
+}
+
+// fill takes all slots and returns their workers.
+func fill(t *testing.T, s *admission.Station[string]) []string {
+	t.Helper()
+	var workers []string
+	for {
+		v, _ := s.Take(_now, arrival("first", 1))
+		if !v.Granted {
+			require.True(t, v.Queued)
+			require.True(t, s.Cancel("first"))
+			return workers
+		}
+		workers = append(workers, v.Worker.Name)
+	}
+}
+
+func TestQueuedGetFreedSlotByPriority(t *testing.T) {
+	s := newStation(2, 2)
+	workers := fill(t, s)
+	require.Len(t, workers, 4)
+	for _, a := range []admission.Arrival[string]{arrival("low", 3), arrival("high", 1)} {
+		v, lost := s.Take(_now, a)
+		require.True(t, v.Queued)
+		require.Empty(t, lost)
+	}
+	grants := s.Done(_now, workers[0], backend.Answered, 20*time.Millisecond)
+	require.Len(t, grants, 1)
+	assert.Equal(t, "high", grants[0].Value)
+	assert.Equal(t, workers[0], grants[0].Worker.Name)
+}
+
+// No work is queued that could not end in time.
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	s := newStation(1, 1)
+	fill(t, s)
+	a := arrival("late", 1)
+	a.Deadline = _now.Add(30 * time.Millisecond) // less than waiting and running take on average
+	v, _ := s.Take(_now, a)
+	assert.Equal(t, relay.TooLate, v.Refusal)
+}
+
+// The queue is bounded, and gives up the least important request.
+func TestFullQueueShedsLowest(t *testing.T) {
+	s := newStation(1, 1)
+	fill(t, s)
+	queued := 0
+	for {
+		v, lost := s.Take(_now, arrival(fmt.Sprint("low", queued), 3))
+		require.Empty(t, lost)
+		if v.Refusal != "" {
+			assert.Equal(t, relay.QueueFull, v.Refusal)
+			break
+		}
+		queued++
+		require.Less(t, queued, 1000)
+	}
+	v, lost := s.Take(_now, arrival("high", 1))
+	assert.True(t, v.Queued)
+	require.Len(t, lost, 1)
+	assert.True(t, lost[0].Lost)
+	assert.Contains(t, lost[0].Value, "low")
+}
+
+// Invariant noOverload: moved work gets at most the target, never a place in
+// the queue, and nothing while a worker refuses.
+func TestMovedWorkLeavesRoom(t *testing.T) {
+	moved := arrival("moved", 1)
+	moved.Moved = true
+	s := newStation(2, 10)
+	taken := 0
+	for {
+		v, _ := s.Take(_now, moved)
+		if !v.Granted {
+			assert.Equal(t, relay.NoRoom, v.Refusal)
+			break
+		}
+		taken++
+	}
+	assert.Equal(t, 17, taken, "85 % of 20 slots")
+
+	s = newStation(2, 10)
+	s.Pool.Instances = 2
+	taken = 0
+	for {
+		if v, _ := s.Take(_now, moved); !v.Granted {
+			break
+		}
+		taken++
+	}
+	assert.Equal(t, 8, taken, "the part of one of two instances")
+
+	s = newStation(2, 10)
+	v, _ := s.Take(_now, arrival("own", 1))
+	s.Done(_now, v.Worker.Name, backend.Refused, 0)
+	v, _ = s.Take(_now, moved)
+	assert.Equal(t, relay.NoRoom, v.Refusal)
+}
+
+func TestHeadroomCountsTheOthers(t *testing.T) {
+	s := newStation(2, 10)
+	assert.Equal(t, 17, s.Headroom(_now, 0))
+	assert.Equal(t, 7, s.Headroom(_now, 10))
+	assert.Zero(t, s.Headroom(_now, 30))
+}
+
+func TestNoWorkers(t *testing.T) {
+	s := newStation(0, 1)
+	v, _ := s.Take(_now, arrival("a", 1))
+	assert.Equal(t, relay.NoRoom, v.Refusal)
+	assert.False(t, s.Room(_now).Workers)
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -31,6 +31,8 @@
 	ReportTrust = 4 * time.Second
 	// FullFor is the time for which a worker that refused counts as full.
 	FullFor = 20 * time.Millisecond
+	// CrowdedFor is the time for which a refusal tells that the pool is crowded.
+	CrowdedFor = 100 * time.Millisecond
 	// EjectBase is the first ejection of an outlier; each further one is longer.
 	EjectBase = 2 * time.Second
 	// EjectMax is the longest ejection.
@@ -40,6 +42,7 @@
 	// MaxEjectedShare is the largest share of the pool that is ejected together.
 	MaxEjectedShare = 1.0 / 3
 
+	_othersDecay    = 0.7
 	_errorDecay     = 0.9
 	_errorPenalty   = 4.0
 	_latencyDecay   = 0.9
@@ -83,13 +86,14 @@
 	workers map[string]*worker
 	order   []*worker
 	started time.Time
+	refused time.Time
 }
 
 type worker struct {
 	Worker
 	since     time.Time
 	inFlight  int
-	others    int
+	others    float64
 	reported  time.Time
 	draining  bool
 	fullUntil time.Time
@@ -157,8 +161,15 @@
 	if !ok {
 		return
 	}
+	seen := float64(min(max(busy-w.inFlight, 0), w.Slots))
+	if now.Sub(w.reported) >= ReportTrust {
+		w.others = seen
+	} else {
+		// Requests are much shorter than the time between reports: their mean
+		// says more than the last one.
+		w.others = _othersDecay*w.others + (1-_othersDecay)*seen
+	}
 	w.reported = now
-	w.others = min(max(busy-w.inFlight, 0), w.Slots)
 	w.draining = draining
 }
 
@@ -207,8 +218,7 @@
 		w.latency = blend(w.latency, latency)
 	case Refused:
 		w.fullUntil = now.Add(FullFor)
-		w.others = max(w.Slots-w.inFlight, 0)
-		w.reported = now
+		p.refused = now
 	case Errored, Unreachable, Broken:
 		w.errors = w.errors*_errorDecay + (1 - _errorDecay)
 		w.streak++
@@ -225,13 +235,19 @@
 func (p *Pool) Load(now time.Time) (slots, inFlight int) {
 	for _, w := range p.order {
 		inFlight += w.inFlight
-		if w.usable(now) {
+		if w.up(now) {
 			slots += w.rampedSlots(now)
 		}
 	}
 	return slots, inFlight
 }
 
+// Crowded reports whether a worker refused a request within CrowdedFor: the
+// pool has less room than its counts show.
+func (p *Pool) Crowded(now time.Time) bool {
+	return now.Sub(p.refused) < CrowdedFor
+}
+
 // Free returns the free slots of usable workers, as far as known.
 func (p *Pool) Free(now time.Time) int {
 	free := 0
@@ -296,36 +312,42 @@
 // does not look idle.
 func (p *Pool) score(now time.Time, w *worker) float64 {
 	slots := float64(max(w.rampedSlots(now), 1))
-	return float64(w.busy(now)+1)/slots + w.errors*_errorPenalty
+	return (w.busy(now)+1)/slots + w.errors*_errorPenalty
+}
+
+// up reports whether the worker takes work at all.
+func (w *worker) up(now time.Time) bool {
+	return !w.gone && !w.Leaving && !w.draining && !now.Before(w.ejected)
 }
 
+// usable reports whether the worker may be sent a request now.
 func (w *worker) usable(now time.Time) bool {
-	return !w.gone && !w.Leaving && !w.draining && !now.Before(w.ejected) && !now.Before(w.fullUntil)
+	return w.up(now) && !now.Before(w.fullUntil)
 }
 
-// busy is what is in flight from here, and from others as far as a report
-// that ages shows.
-func (w *worker) busy(now time.Time) int {
-	return w.inFlight + w.othersNow(now)
+// busy is what is in flight from here, and from others by the mean of reports
+// that age.
+func (w *worker) busy(now time.Time) float64 {
+	return float64(w.inFlight) + w.othersNow(now)
 }
 
-func (w *worker) othersNow(now time.Time) int {
+func (w *worker) othersNow(now time.Time) float64 {
 	age := now.Sub(w.reported)
-	if age >= ReportTrust || w.others == 0 {
+	if age >= ReportTrust {
 		return 0
 	}
-	trust := 1 - float64(age)/float64(ReportTrust)
-	return int(float64(w.others)*trust + 0.5)
+	return w.others * (1 - float64(age)/float64(ReportTrust))
 }
 
-// free is the room of the worker. Without a report it is assumed that the
-// other entry instances use their part of the slots.
+// free is the room of the worker, which the whole slots of the others' mean
+// are taken from. Without a report it is assumed that the other entry
+// instances use their part of the slots.
 func (w *worker) free(now time.Time, instances int) int {
 	slots := w.rampedSlots(now)
 	if now.Sub(w.reported) >= ReportTrust && instances > 1 {
 		slots = (slots + instances - 1) / instances
 	}
-	return slots - w.busy(now)
+	return slots - w.inFlight - int(w.othersNow(now))
 }
 
 // rampedSlots grows from a quarter of the slots to all of them during RampTime.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/admission"
 	"github.com/wigeonlock/wigeonlock/fleet"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/payment"
@@ -53,9 +54,8 @@
 // Here runs requests in the own zone.
 type Here interface {
 	relay.Carrier
-	// Room tells whether a request would find a slot at once, and how long it
-	// would wait otherwise.
-	Room(now time.Time, service string) (free int, wait time.Duration, workers bool)
+	// Room tells what a request would find.
+	Room(now time.Time, service string) admission.Room
 }
 
 // Fleet tells who serves in other zones.
@@ -92,6 +92,8 @@
 	planner Planner
 	budget  retry.Budget
 	budgets map[string]*retry.Budget
+	// pressure follows the refusals of workers.
+	pressure retry.Pressure
 }
 
 var (
@@ -99,7 +101,9 @@
 
 	_firstTries    = metrics.NewCounter("wigeonlock_first_tries_total")
 	_budgetRefused = metrics.NewCounter("wigeonlock_retry_budget_refusals_total")
-	_resumes       = metrics.NewCounter("wigeonlock_document_resumes_total")
+	// _pressureRefused counts requests not sent again since many are refused.
+	_pressureRefused = metrics.NewCounter("wigeonlock_refused_not_retried_total")
+	_resumes         = metrics.NewCounter("wigeonlock_document_resumes_total")
 )
 
 // Name returns ServiceName.
@@ -175,19 +179,20 @@
 // carry tries zones and workers until the request ran or may not be tried again.
 func (s *Service) carry(ctx context.Context, r *relay.Request, tenant *plan.Tenant) *relay.Answer {
 	s.firstTry(r.Service)
-	j := &Journey{Service: r.Service, Home: tenant.HomeRegion, Shift: tenant.Plan.ShiftSlots > 0, Tried: r.Tried}
+	j := &Journey{
+		Service: r.Service, Plan: tenant.Plan.Name, Home: tenant.HomeRegion, Shift: tenant.Plan.ShiftSlots > 0, Tried: r.Tried,
+	}
 	for range _maxTries {
 		dest, ok := s.choose(j)
 		if !ok {
 			break
 		}
-		// A refusal before anything was sent to a worker costs no worker
-		// anything; what was sent once is only sent again within the budget.
-		if j.Sent && !s.retryBudget(r.Service, j.Last.Reason) {
+		if !s.mayTry(j) {
 			break
 		}
 		r.Tried = j.Tried
-		answer := s.attempt(ctx, r, dest)
+		answer := s.attempt(ctx, r, j, dest)
+		s.notePressure(answer)
 		if answer.Outcome == retry.Run {
 			return s.resumable(ctx, r, tenant, answer)
 		}
@@ -205,11 +210,11 @@
 // choose returns the next destination of a journey.
 func (s *Service) choose(j *Journey) (Destination, bool) {
 	now := time.Now()
-	free, wait, workers := s.Here.Room(now, j.Service)
+	room := s.Here.Room(now, j.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.planner.Choose(now, j, Surroundings{
-		Free: free, Wait: wait, Workers: workers,
+		Room: room,
 		View: func(zone, service string) steer.View { return s.Fleet.View(now, zone, service) },
 		Live: func(zone string) []fleet.Member { return s.Fleet.Live(now, zone) },
 	})
@@ -217,7 +222,7 @@
 
 // attempt sends the request to one destination. An idempotent request leaves
 // time for another attempt, in case the connection went silent.
-func (s *Service) attempt(ctx context.Context, r *relay.Request, d Destination) *relay.Answer {
+func (s *Service) attempt(ctx context.Context, r *relay.Request, j *Journey, d Destination) *relay.Answer {
 	countAttempt(d.Here)
 	attemptCtx, cancel := s.attemptContext(ctx, r)
 	defer cancel()
@@ -225,11 +230,11 @@
 		return relay.Buffer(s.Here.Carry(attemptCtx, r))
 	}
 	s.mu.Lock()
-	s.planner.Steer.Begin(time.Now(), d.Zone, r.Service)
+	s.planner.Begin(time.Now(), j, d)
 	s.mu.Unlock()
 	answer := relay.Buffer(s.Peers.Client().Carry(attemptCtx, d.Member.PeerAddress, r))
 	s.mu.Lock()
-	s.planner.Steer.End(time.Now(), d.Zone, r.Service, steerResult(answer))
+	s.planner.End(time.Now(), j, d, answer)
 	s.mu.Unlock()
 	if answer.Reason == relay.PeerUnreachable {
 		s.Fleet.Failed(d.Member.Name)
@@ -246,17 +251,6 @@
 	return context.WithTimeout(ctx, time.Duration(float64(left)*_firstTryShare))
 }
 
-func steerResult(a *relay.Answer) steer.Result {
-	switch {
-	case a.Outcome == retry.Run:
-		return steer.Accepted
-	case a.Outcome == retry.NotRun && a.Reason != relay.PeerUnreachable:
-		return steer.Refused
-	default:
-		return steer.Failed
-	}
-}
-
 // resumable wraps a large document so that it continues after a failure.
 func (s *Service) resumable(ctx context.Context, r *relay.Request, t *plan.Tenant, a *relay.Answer) *relay.Answer {
 	if !relay.Resumable(r.Method, a) || relay.Get(r.Header, "Range") != "" {
@@ -288,6 +282,35 @@
 	s.serviceBudget(service).First()
 }
 
+// mayTry reports whether another attempt may be made. A refusal by a zone costs
+// no worker anything. What a worker refused may be sent to another one unless
+// many are refused; what was sent otherwise needs a retry of the budget.
+func (s *Service) mayTry(j *Journey) bool {
+	if j.Sent {
+		return s.retryBudget(j.Service, j.Last.Reason)
+	}
+	if !j.Refused {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.pressure.Allow() {
+		_pressureRefused.Inc()
+		return false
+	}
+	countRetry(j.Last.Reason)
+	return true
+}
+
+func (s *Service) notePressure(a *relay.Answer) {
+	if a.Outcome != retry.Run && a.Reason != relay.WorkerRefused {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pressure.Note(a.Reason == relay.WorkerRefused)
+}
+
 // retryBudget takes one retry from the budgets of the instance and of the
 // service.
 func (s *Service) retryBudget(service string, reason relay.Reason) bool {
--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -4,7 +4,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wigeonlock/wigeonlock/admission"
 	"github.com/wigeonlock/wigeonlock/fleet"
+	"github.com/wigeonlock/wigeonlock/quota"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/steer"
@@ -18,6 +20,18 @@
 	Region string
 	Steer  steer.Steer
 	Rand   *rand.Rand
+
+	// capped are the times until which a plan is not sent to an instance.
+	capped map[planMember]time.Time
+}
+
+// HoldAfterCap is the time for which a plan whose shift cap refused at an
+// instance is not sent there.
+const HoldAfterCap = 100 * time.Millisecond
+
+type planMember struct {
+	plan   string
+	member string
 }
 
 // Destination is where an attempt goes: the own zone or an instance of another.
@@ -29,11 +43,8 @@
 
 // Surroundings are what a choice depends on at the time.
 type Surroundings struct {
-	// Free are the free slots of the own zone; Wait is the time to wait for one
-	// otherwise; Workers tells whether the zone has workers.
-	Free    int
-	Wait    time.Duration
-	Workers bool
+	// Room is that of the own zone.
+	Room admission.Room
 	// View tells what another zone advertises.
 	View func(zone, service string) steer.View
 	// Live returns the members of a zone that take work.
@@ -43,6 +54,7 @@
 // Journey is what is known of a request from its attempts so far.
 type Journey struct {
 	Service string
+	Plan    string
 	// Home is the customer's home region.
 	Home string
 	// Shift tells whether the plan may run outside the home region.
@@ -53,6 +65,8 @@
 	Last *relay.Answer
 	// Sent tells that a worker was sent the request.
 	Sent bool
+	// Refused tells that a worker refused the last attempt.
+	Refused bool
 	// Tried names the workers of the own zone that were tried.
 	Tried []string
 
@@ -70,7 +84,8 @@
 	if j.Result == nil || a.Outcome != retry.NotRun {
 		j.Result = a
 	}
-	j.Sent = j.Sent || a.Outcome != retry.NotRun || a.Worker != "" || a.Reason == relay.WorkerRefused
+	j.Refused = a.Reason == relay.WorkerRefused
+	j.Sent = j.Sent || a.Outcome != retry.NotRun || (a.Worker != "" && !j.Refused)
 	switch {
 	case !d.Here:
 		j.zones = append(j.zones, d.Zone)
@@ -108,6 +123,40 @@
 	return false
 }
 
+// steerResult tells what an answer from another zone says of the zone.
+func steerResult(a *relay.Answer) steer.Result {
+	switch {
+	case a.Outcome == retry.Run:
+		return steer.Accepted
+	case a.Outcome != retry.NotRun || a.Reason == relay.PeerUnreachable:
+		return steer.Failed
+	}
+	switch quota.Reason(a.Reason) {
+	case quota.NoShare, quota.Adjusting, quota.NoSession, quota.Unconfirmed:
+		return steer.CapReached
+	default:
+		return steer.Refused
+	}
+}
+
+// Begin records that a request is sent to another zone.
+func (p *Planner) Begin(now time.Time, j *Journey, d Destination) {
+	p.Steer.Begin(now, d.Zone, j.Service)
+}
+
+// End records what another zone answered.
+func (p *Planner) End(now time.Time, j *Journey, d Destination, a *relay.Answer) {
+	result := steerResult(a)
+	p.Steer.End(now, d.Zone, j.Service, result)
+	if result != steer.CapReached {
+		return
+	}
+	if p.capped == nil {
+		p.capped = make(map[planMember]time.Time)
+	}
+	p.capped[planMember{j.Plan, d.Member.Name}] = now.Add(HoldAfterCap)
+}
+
 // Choose returns the next destination. A request whose home is another region
 // goes there first, where it occupies no slot of the shift cap. Otherwise the
 // own zone comes first if it has a slot, or if waiting for one is shorter than
@@ -117,9 +166,9 @@
 		return Destination{}, false
 	}
 	here := Destination{Here: true, Zone: p.Zone}
-	open := s.Workers && !j.hereClosed
+	open := s.Room.Workers && !j.hereClosed
 	atHome := j.Home == p.Region
-	if open && s.Free > 0 && (atHome || !j.first()) {
+	if open && s.Room.Free > 0 && (atHome || !j.first()) {
 		return here, true // the usual case needs no look at other zones
 	}
 	routes := p.routes(now, j, s)
@@ -127,12 +176,12 @@
 	trip, elsewhere := p.Steer.Nearest(routes)
 	switch {
 	case home && j.first():
-	case open && (s.Free > 0 || s.Wait < trip):
+	case open && (s.Room.Free > 0 || s.Room.Wait < trip):
 		return here, true
 	}
 	if elsewhere {
 		for _, route := range routes {
-			if m, ok := p.pickMember(s, route.Zone); ok {
+			if m, ok := p.pickMember(now, j.Plan, s.Live(route.Zone)); ok {
 				return Destination{Member: m, Zone: route.Zone}, true
 			}
 		}
@@ -142,7 +191,9 @@
 
 // routes returns the ways to the other zones that were not tried, best first.
 func (p *Planner) routes(now time.Time, j *Journey, s Surroundings) []steer.Route {
-	all := p.Steer.Choose(now, p.Rand, steer.Request{Service: j.Service, Home: j.Home, Shift: j.Shift}, s.View)
+	all := p.Steer.Choose(now, p.Rand, steer.Request{
+		Service: j.Service, Home: j.Home, Work: s.Room.Work, Shift: j.Shift,
+	}, s.View)
 	untried := all[:0]
 	for _, r := range all {
 		if !j.triedZone(r.Zone) {
@@ -152,10 +203,17 @@
 	return untried
 }
 
-func (p *Planner) pickMember(s Surroundings, zone string) (fleet.Member, bool) {
-	members := s.Live(zone)
-	if len(members) == 0 {
+// pickMember draws one of the members at which the plan's cap did not refuse
+// lately.
+func (p *Planner) pickMember(now time.Time, plan string, members []fleet.Member) (fleet.Member, bool) {
+	open := make([]fleet.Member, 0, len(members))
+	for _, m := range members {
+		if !now.Before(p.capped[planMember{plan, m.Name}]) {
+			open = append(open, m)
+		}
+	}
+	if len(open) == 0 {
 		return fleet.Member{}, false
 	}
-	return members[p.Rand.IntN(len(members))], true
+	return open[p.Rand.IntN(len(open))], true
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -381,13 +381,13 @@
 
 func (f *Fleet) takeBeat(now time.Time, s *seen, b Beat, services ID) {
 	s.Leaving = s.Leaving || b.Leaving
-	if heard := now.Add(-b.Age); heard.After(s.heard) || len(s.loads) == 0 {
-		if heard.After(s.heard) {
-			s.heard = heard
-		}
-		if services == f.services {
-			s.loads = b.Loads
-		}
+	heard := now.Add(-b.Age)
+	if heard.Before(s.heard) {
+		return // something newer is known
+	}
+	s.heard = heard
+	if services == f.services {
+		s.loads = b.Loads
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -95,6 +95,24 @@
 	assert.Equal(t, []fleet.ServiceLoad{{Service: "katalog", Slots: 10, Busy: 2, Headroom: 4}}, report.Loads)
 }
 
+// Loads in reports follow those of the members.
+func TestReportedLoadsFollow(t *testing.T) {
+	w := newWorld(2, 1, 2)
+	busy := 1
+	for _, f := range w.fleets {
+		f.Loads = func(time.Time) []fleet.ServiceLoad {
+			return []fleet.ServiceLoad{{Service: "katalog", Slots: 10, Busy: busy, Headroom: 10 - busy}}
+		}
+	}
+	w.run(4 * time.Second)
+	busy = 7
+	w.run(4 * time.Second)
+	report, ok := w.fleets["r0-z0-0"].Zone(w.now, "r1-z0")
+	require.True(t, ok)
+	assert.Equal(t, []fleet.ServiceLoad{{Service: "katalog", Slots: 10, Busy: 14, Headroom: 6}}, report.Loads)
+	assert.Equal(t, 7, w.fleets["r0-z0-0"].Busy(w.now, "katalog"))
+}
+
 // A dead instance leaves all views within SuspectAfter and SpreadTime.
 func TestDeadLeavesViews(t *testing.T) {
 	for _, victim := range []string{"r0-z0-0", "r0-z0-1"} { // the reporter of the zone, and the other one
--- /dev/null
+++ b/measure/policy/policy_test.go
@@ -0,0 +1,51 @@
+package policy_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/deployment"
+	"github.com/wigeonlock/wigeonlock/measure/policy"
+)
+
+func run(t *testing.T, seed uint64, names ...string) []policy.Trial {
+	t.Helper()
+	var deployments []deployment.Deployment
+	for _, name := range deployment.Names() {
+		d, ok := deployment.Find(name)
+		require.True(t, ok)
+		deployments = append(deployments, d)
+	}
+	return policy.Run(policy.Options{Seed: seed, Deployments: deployments, Names: names})
+}
+
+// Invariants shiftCap and noOverload hold in trials of load and faults, and
+// the measurement can see a breach: the simpler policies have some.
+func TestPromisesInTrials(t *testing.T) {
+	breaches := 0
+	for _, trial := range run(t, 1, "monthEndTenfold", "regionLost") {
+		if trial.Policy != policy.Wigeonlock {
+			breaches += trial.CapBreaches + trial.OverloadedMoves
+			continue
+		}
+		assert.Zero(t, trial.CapBreaches, "%s, %s", trial.Deployment, trial.Name)
+		assert.Zero(t, trial.OverloadedMoves, "%s, %s", trial.Deployment, trial.Name)
+		assert.Positive(t, trial.Moves, "%s, %s", trial.Deployment, trial.Name)
+	}
+	assert.Positive(t, breaches)
+}
+
+func TestTrialsAreRepeatable(t *testing.T) {
+	assert.Equal(t, run(t, 3, "zoneDrained"), run(t, 3, "zoneDrained"))
+}
+
+// A leaving worker gets nothing after two seconds.
+func TestLeavingWorkerInTrial(t *testing.T) {
+	for _, trial := range run(t, 1, "workerLeaves") {
+		if trial.Policy == policy.Wigeonlock {
+			assert.Less(t, trial.AfterLeavingMs, 2000.0, trial.Deployment)
+		}
+	}
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -7,7 +7,7 @@
 const (
 	// GiveBackAfter is the time for which a part of a share must be unused
 	// before it is given back.
-	GiveBackAfter = time.Second
+	GiveBackAfter = 500 * time.Millisecond
 	// RaiseStep is the smallest raise in slots; a larger share is raised by half.
 	RaiseStep = 2
 	// ReadInterval is the time between reads of a record that blocks admission.
@@ -355,11 +355,13 @@
 
 // SwapDone takes the result of the swap of the last step, with the store
 // version that it gave. When it was not applied or its reply was lost, ok is
-// false and the record is read next.
+// false and the record is read next. Until then the former share holds, within
+// the fence: nobody else changes a share but under other lists, which this
+// holder learns of by itself, or after its session.
 func (h *Holder) SwapDone(stored uint64, ok bool) {
 	h.pending = false
 	if !ok {
-		h.known = false
+		h.refresh = true
 		return
 	}
 	h.confirm(h.proposed, stored)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -122,3 +122,28 @@
 		c.until = now.Add(c.Backoff.Delay(c.failures-c.Threshold, random))
 	}
 }
+
+// Pressure follows the share of requests that workers refuse. While few are
+// refused, a refused one may be sent to another worker: it did not run and
+// cost little. While many are, that would only add to the load.
+type Pressure struct {
+	share float64
+}
+
+const (
+	_pressureDecay = 0.98
+	_pressureLimit = 0.5
+)
+
+// Note records whether a worker refused a request.
+func (p *Pressure) Note(refused bool) {
+	p.share *= _pressureDecay
+	if refused {
+		p.share += 1 - _pressureDecay
+	}
+}
+
+// Allow reports whether a refused request may be sent to another worker.
+func (p *Pressure) Allow() bool {
+	return p.share < _pressureLimit
+}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -28,15 +28,21 @@
 	// WindowStart is the first window towards a zone, in requests in flight.
 	WindowStart = 4
 	// GrowInterval is the shortest time between two steps up of a window.
-	GrowInterval = 100 * time.Millisecond
+	GrowInterval = 50 * time.Millisecond
 	// GrowShare is the largest part by which a window grows in a step.
 	GrowShare = 0.5
-	// HoldAfterRefusal is the time for which a zone that refused gets nothing.
-	HoldAfterRefusal = 50 * time.Millisecond
+	// ShrinkInterval is the shortest time between two steps down of a window:
+	// refusals of one round trip count once.
+	ShrinkInterval = 100 * time.Millisecond
+	// ShrinkShare is the part of a window that is left after a refusal.
+	ShrinkShare = 0.7
 	// MaxTries is the number of zones tried for one request.
 	MaxTries = 3
 
 	_forgiveAfter = time.Second
+	_leastWindow  = 2
+	// _fullShare is the part of a window in use from which it grows.
+	_fullShare = 0.5
 )
 
 // Route is the way to another zone.
@@ -66,6 +72,8 @@
 	Service string
 	// Home is the home region of the customer.
 	Home string
+	// Work is the mean time that a request occupies a slot.
+	Work time.Duration
 	// Shift tells whether the plan may run outside the home region at all.
 	Shift bool
 }
@@ -76,8 +84,11 @@
 const (
 	// Accepted means that the zone took the request.
 	Accepted Result = "accepted"
-	// Refused means that the zone refused the request.
+	// Refused means that the zone had no room.
 	Refused Result = "refused"
+	// CapReached means that the plan's shift cap refused the request: it says
+	// nothing of the zone's room.
+	CapReached Result = "capReached"
 	// Failed means that the zone could not be reached or did not answer.
 	Failed Result = "failed"
 )
@@ -104,7 +115,7 @@
 	sent     int
 	sentAt   time.Time
 	grown    time.Time
-	hold     time.Time
+	shrunk   time.Time
 	refused  bool
 }
 
@@ -120,7 +131,7 @@
 		if route.Region != r.Home && !r.Shift {
 			continue
 		}
-		room := s.room(now, route, r.Home, r.Service, view(route.Zone, r.Service))
+		room := s.room(now, route, r, view(route.Zone, r.Service))
 		if room < 1 {
 			continue
 		}
@@ -167,7 +178,7 @@
 // End ends a request towards a zone and moves its window.
 func (s *Steer) End(now time.Time, zone, service string, result Result) {
 	w := s.window(zone, service)
-	full := float64(w.inFlight) >= w.limit-1
+	full := float64(w.inFlight) >= w.limit*_fullShare
 	w.inFlight--
 	switch result {
 	case Accepted:
@@ -178,10 +189,13 @@
 			w.limit += max(1, w.limit*GrowShare)
 			w.grown = now
 		}
+	case CapReached:
 	case Refused, Failed:
 		w.refused = true
-		w.limit = max(1, min(w.limit, float64(w.inFlight+1))/2)
-		w.hold = now.Add(HoldAfterRefusal)
+		if now.Sub(w.shrunk) >= ShrinkInterval {
+			w.limit = max(_leastWindow, min(w.limit, float64(w.inFlight+1))*ShrinkShare)
+			w.shrunk = now
+		}
 		w.grown = now
 	}
 }
@@ -206,9 +220,9 @@
 // room is how many more requests the zone is trusted to take from here. Work
 // that goes to its home region is no shift: the window bounds it only after a
 // refusal.
-func (s *Steer) room(now time.Time, r Route, home, service string, v View) float64 {
-	w := s.window(r.Zone, service)
-	if !v.Known || v.Age >= v.Stale || now.Before(w.hold) {
+func (s *Steer) room(now time.Time, r Route, req Request, v View) float64 {
+	w := s.window(r.Zone, req.Service)
+	if !v.Known || v.Age >= v.Stale {
 		return 0
 	}
 	trust := 1 - float64(v.Age)/float64(v.Stale)
@@ -216,7 +230,12 @@
 	if advertised < 1 {
 		return 0
 	}
-	if r.Region == home && !w.refused {
+	// A request is on its way for longer than it occupies a slot: so many more
+	// may be under way than there are slots.
+	if req.Work > 0 {
+		advertised *= 1 + 2*float64(r.OneWay)/float64(req.Work)
+	}
+	if r.Region == req.Home && !w.refused {
 		return advertised - float64(w.inFlight)
 	}
 	return min(advertised, w.limit) - float64(w.inFlight)
@@ -234,3 +253,8 @@
 	}
 	return w
 }
+
+// Limit returns the window towards a zone.
+func (s *Steer) Limit(zone, service string) float64 {
+	return s.window(zone, service).limit
+}
