--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -192,7 +192,7 @@
 		}
 		r.Tried = j.Tried
 		answer := s.attempt(ctx, r, j, dest)
-		s.notePressure(answer)
+		s.notePressure(j, dest, answer)
 		if answer.Outcome == retry.Run {
 			return s.resumable(ctx, r, tenant, answer)
 		}
@@ -282,33 +282,32 @@
 	s.serviceBudget(service).First()
 }
 
-// mayTry reports whether another attempt may be made. A refusal by a zone costs
-// no worker anything. What a worker refused may be sent to another one unless
-// many are refused; what was sent otherwise needs a retry of the budget.
+// mayTry reports whether another attempt may be made. A refusal costs no worker
+// much; what was sent otherwise needs a retry of the budget.
 func (s *Service) mayTry(j *Journey) bool {
 	if j.Sent {
 		return s.retryBudget(j.Service, j.Last.Reason)
 	}
-	if !j.Refused {
-		return true
+	if j.Refused {
+		countRetry(j.Last.Reason)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.pressure.Allow() {
-		_pressureRefused.Inc()
-		return false
-	}
-	countRetry(j.Last.Reason)
 	return true
 }
 
-func (s *Service) notePressure(a *relay.Answer) {
-	if a.Outcome != retry.Run && a.Reason != relay.WorkerRefused {
+// notePressure follows the refusals of workers. While many of the own zone
+// refuse, a refused request is not sent to another of them.
+func (s *Service) notePressure(j *Journey, d Destination, a *relay.Answer) {
+	if !d.Here || (a.Outcome != retry.Run && a.Reason != relay.WorkerRefused) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pressure.Note(a.Reason == relay.WorkerRefused)
+	refused := a.Reason == relay.WorkerRefused
+	s.pressure.Note(refused)
+	if refused && !s.pressure.Allow() {
+		_pressureRefused.Inc()
+		j.CloseHere()
+	}
 }
 
 // retryBudget takes one retry from the budgets of the instance and of the
--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -96,6 +96,11 @@
 	}
 }
 
+// CloseHere leaves the own zone out of further attempts.
+func (j *Journey) CloseHere() {
+	j.hereClosed = true
+}
+
 // first reports whether nothing was tried yet.
 func (j *Journey) first() bool {
 	return j.Last == nil
--- a/measure/policy/request.go
+++ b/measure/policy/request.go
@@ -123,9 +123,6 @@
 			return false
 		}
 	case q.journey.Refused:
-		if !q.first.pressure.Allow() {
-			return false
-		}
 	default:
 		return true
 	}
@@ -346,14 +343,20 @@
 	if !q.at.dest.Here {
 		q.first.planner.End(w.now, &q.journey, q.at.dest, a)
 	}
-	if a.Outcome == retry.Run || a.Reason == relay.WorkerRefused {
-		q.first.pressure.Note(a.Reason == relay.WorkerRefused)
-	}
 	if a.Outcome == retry.Run {
+		if q.at.dest.Here {
+			q.first.pressure.Note(false)
+		}
 		w.end(q, a)
 		return
 	}
 	q.journey.Note(q.at.dest, a)
+	if q.at.dest.Here && a.Reason == relay.WorkerRefused {
+		q.first.pressure.Note(true)
+		if !q.first.pressure.Allow() {
+			q.journey.CloseHere()
+		}
+	}
 	w.dispatch(q)
 }
 
