--- a/admission/station.go
+++ b/admission/station.go
@@ -16,6 +16,10 @@
 	// MaxQueueTime is the longest time for which requests are queued.
 	MaxQueueTime = 200 * time.Millisecond
 
+	// _movedReserve is the part of the slots, one in so many, that must be free
+	// when moved work is taken.
+	_movedReserve = 4
+
 	_meanDecay = 0.95
 	_firstMean = 20 * time.Millisecond
 	_trendTime = time.Second
@@ -89,7 +93,7 @@
 // Take asks for a worker. Moved work gets one only within the room for it; the
 // zone's own may wait. Requests that lose their place to this one are returned.
 func (s *Station[T]) Take(now time.Time, a Arrival[T]) (Verdict, []Grant[T]) {
-	if a.Moved && (s.Headroom(now, a.BusyElsewhere) == 0 || s.Pool.Crowded(now)) {
+	if a.Moved && !s.admitsMoved(now, a.BusyElsewhere) {
 		return Verdict{Refusal: relay.NoRoom}, nil
 	}
 	if s.queue.Len() == 0 {
@@ -191,6 +195,14 @@
 	return max(min(part-inFlight, target-inFlight-busyElsewhere)-s.queue.Len()-reserve, 0)
 }
 
+// admitsMoved reports whether moved work is taken: there is headroom, no
+// worker refused lately, and some slots stay free for the own callers, who may
+// have come since the others' use was last known.
+func (s *Station[T]) admitsMoved(now time.Time, busyElsewhere int) bool {
+	slots, _ := s.Pool.Load(now)
+	return s.Headroom(now, busyElsewhere) > 0 && !s.Pool.Crowded(now) && s.Pool.Free(now) > slots/_movedReserve
+}
+
 // expectedWait is the time that the next request would wait in the queue.
 func (s *Station[T]) expectedWait(now time.Time) time.Duration {
 	slots, _ := s.Pool.Load(now)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,9 +30,9 @@
 	// ReportTrust is the age at which a load report counts for nothing.
 	ReportTrust = 4 * time.Second
 	// FullFor is the time for which a worker that refused counts as full.
-	FullFor = 20 * time.Millisecond
+	FullFor = 10 * time.Millisecond
 	// CrowdedFor is the time for which a refusal tells that the pool is crowded.
-	CrowdedFor = 100 * time.Millisecond
+	CrowdedFor = 250 * time.Millisecond
 	// EjectBase is the first ejection of an outlier; each further one is longer.
 	EjectBase = 2 * time.Second
 	// EjectMax is the longest ejection.
@@ -42,7 +42,9 @@
 	// MaxEjectedShare is the largest share of the pool that is ejected together.
 	MaxEjectedShare = 1.0 / 3
 
-	_othersDecay    = 0.7
+	_othersDecay = 0.7
+	// _cautious rounds the mean of what others use, mostly up.
+	_cautious       = 0.8
 	_errorDecay     = 0.9
 	_errorPenalty   = 4.0
 	_latencyDecay   = 0.9
@@ -339,15 +341,15 @@
 	return w.others * (1 - float64(age)/float64(ReportTrust))
 }
 
-// free is the room of the worker, which the whole slots of the others' mean
-// are taken from. Without a report it is assumed that the other entry
+// free is the room of the worker, less what others use on average, rounded
+// mostly up. Without a report it is assumed that the other entry
 // instances use their part of the slots.
 func (w *worker) free(now time.Time, instances int) int {
 	slots := w.rampedSlots(now)
 	if now.Sub(w.reported) >= ReportTrust && instances > 1 {
 		slots = (slots + instances - 1) / instances
 	}
-	return slots - w.inFlight - int(w.othersNow(now))
+	return slots - w.inFlight - int(w.othersNow(now)+_cautious)
 }
 
 // rampedSlots grows from a quarter of the slots to all of them during RampTime.
