--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -176,7 +176,7 @@
 	if open && s.Room.Free > 0 && (atHome || !j.first()) {
 		return here, true // the usual case needs no look at other zones
 	}
-	routes := p.routes(now, j, s)
+	routes := p.routes(j, s)
 	home := !atHome && len(routes) > 0 && routes[0].Region == j.Home
 	trip, elsewhere := p.Steer.Nearest(routes)
 	switch {
@@ -195,8 +195,8 @@
 }
 
 // routes returns the ways to the other zones that were not tried, best first.
-func (p *Planner) routes(now time.Time, j *Journey, s Surroundings) []steer.Route {
-	all := p.Steer.Choose(now, p.Rand, steer.Request{
+func (p *Planner) routes(j *Journey, s Surroundings) []steer.Route {
+	all := p.Steer.Choose(p.Rand, steer.Request{
 		Service: j.Service, Home: j.Home, Work: s.Room.Work, Shift: j.Shift,
 	}, s.View)
 	untried := all[:0]
--- a/instance/whole_test.go
+++ b/instance/whole_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -236,3 +238,16 @@
 	require.Eventually(t, find(true), _long, time.Millisecond)
 	assert.Less(t, run.End.Sub(run.Start), 1900*time.Millisecond)
 }
+
+// A caller that does not send its header is cut off.
+func TestSlowCallerIsCutOff(t *testing.T) {
+	c := start(t, nil)
+	conn, err := net.Dial("tcp", c.Nodes[0].Settings.Callers.Listen)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET /echo HTTP/1.1\r\nHost: x\r\n"))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(_long)))
+	_, err = io.ReadAll(conn) // ends only when the instance closes the connection
+	assert.NoError(t, err)
+}
--- a/measure/policy/request.go
+++ b/measure/policy/request.go
@@ -213,7 +213,7 @@
 		Value: q, Moved: (n != q.first || q.at.shift) && w.policy == Wigeonlock, Tried: q.journey.Tried, Priority: q.priority,
 		Deadline: q.deadline, BusyElsewhere: n.fleet.Busy(w.now, q.service),
 	})
-	w.deliver(n, lost)
+	w.deliver(lost)
 	switch {
 	case verdict.Granted:
 		w.send(q, verdict.Worker.Name)
@@ -228,7 +228,7 @@
 	}
 }
 
-func (w *world) deliver(n *node, grants []admission.Grant[*request]) {
+func (w *world) deliver(grants []admission.Grant[*request]) {
 	for _, g := range grants {
 		if g.Lost {
 			w.refuse(g.Value, relay.QueueFull)
@@ -324,7 +324,7 @@
 		st.Pool.Drains(k.name)
 	}
 	w.release(q)
-	w.deliver(n, st.Done(w.now, k.name, result, w.now.Sub(q.at.sent)))
+	w.deliver(st.Done(w.now, k.name, result, w.now.Sub(q.at.sent)))
 	w.answer(q, a)
 }
 
--- a/measure/policy/world.go
+++ b/measure/policy/world.go
@@ -356,7 +356,7 @@
 
 func (w *world) serve(n *node) {
 	for _, svc := range w.deployment.Services {
-		w.deliver(n, n.stations[svc.Name].Serve(w.now))
+		w.deliver(n.stations[svc.Name].Serve(w.now))
 	}
 }
 
@@ -472,12 +472,12 @@
 
 // liveNodes are the instances that callers of a region come to.
 func (w *world) liveNodes(region string) []*node {
-	var home, any []*node
+	var home, all []*node
 	for _, n := range w.nodes {
 		if n.dead || (!n.gone.IsZero() && !w.now.Before(n.gone)) {
 			continue
 		}
-		any = append(any, n)
+		all = append(all, n)
 		if n.zone.Region == region {
 			home = append(home, n)
 		}
@@ -485,7 +485,7 @@
 	if len(home) > 0 {
 		return home
 	}
-	return any
+	return all
 }
 
 func sortedReasons(counts map[string]int) []RefusedReason {
--- a/peer/client.go
+++ b/peer/client.go
@@ -75,6 +75,10 @@
 		cancel() // the deadline passed; the body would be cut
 		return relay.Unknown(relay.DeadlinePassed)
 	}
+	if _, whole := relay.Bytes(a); whole {
+		cancel()
+		return a
+	}
 	a.OnClose(cancel)
 	return a
 }
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -44,7 +44,7 @@
 // answer with an unknown outcome. A larger one is left to stream. Once read
 // whole, the answer of the worker is closed, so that its slot is free.
 func Buffer(a *Answer) *Answer {
-	if a.Body == nil || a.Length > BufferBytes {
+	if _, whole := Bytes(a); whole || a.Body == nil || a.Length > BufferBytes {
 		return a
 	}
 	limit := int64(BufferBytes)
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -11,8 +11,8 @@
 // # Usage
 //
 //	s := &steer.Steer{Zone: "tunis-a", Region: "tunis", Routes: routes}
-//	for _, dest := range s.Choose(now, rng, request, view) {
-//		s.Begin(dest, service)
+//	for _, dest := range s.Choose(rng, request, view) {
+//		s.Begin(now, dest, service)
 //		// forward
 //		s.End(now, dest, service, steer.Accepted)
 //	}
@@ -120,7 +120,7 @@
 }
 
 // Choose returns the other zones to try, best first.
-func (s *Steer) Choose(now time.Time, rng *rand.Rand, r Request, view func(zone, service string) View) []Route {
+func (s *Steer) Choose(rng *rand.Rand, r Request, view func(zone, service string) View) []Route {
 	type option struct {
 		route Route
 		group int
@@ -131,7 +131,7 @@
 		if route.Region != r.Home && !r.Shift {
 			continue
 		}
-		room := s.room(now, route, r, view(route.Zone, r.Service))
+		room := s.room(route, r, view(route.Zone, r.Service))
 		if room < 1 {
 			continue
 		}
@@ -220,7 +220,7 @@
 // room is how many more requests the zone is trusted to take from here. Work
 // that goes to its home region is no shift: the window bounds it only after a
 // refusal.
-func (s *Steer) room(now time.Time, r Route, req Request, v View) float64 {
+func (s *Steer) room(r Route, req Request, v View) float64 {
 	w := s.window(r.Zone, req.Service)
 	if !v.Known || v.Age >= v.Stale {
 		return 0
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -45,7 +45,7 @@
 
 func TestOwnRegionFirst(t *testing.T) {
 	s := newSteer()
-	got := s.Choose(_now, newRand(), _atHome, views(map[string]int{"alpen-b": 5, "nord-a": 50, "nord-b": 50}))
+	got := s.Choose(newRand(), _atHome, views(map[string]int{"alpen-b": 5, "nord-a": 50, "nord-b": 50}))
 	require.Len(t, got, 3)
 	assert.Equal(t, "alpen-b", got[0].Zone)
 }
@@ -53,25 +53,25 @@
 func TestHomeRegionFirst(t *testing.T) {
 	s := newSteer()
 	r := steer.Request{Service: "katalog", Home: "nord", Shift: true}
-	got := s.Choose(_now, newRand(), r, views(map[string]int{"alpen-b": 50, "nord-a": 5}))
+	got := s.Choose(newRand(), r, views(map[string]int{"alpen-b": 50, "nord-a": 5}))
 	assert.Equal(t, []string{"nord-a", "alpen-b"}, zones(got))
 }
 
 func TestNoShiftOutsideHome(t *testing.T) {
 	s := newSteer()
 	r := steer.Request{Service: "katalog", Home: "alpen"}
-	got := s.Choose(_now, newRand(), r, views(map[string]int{"alpen-b": 5, "nord-a": 50}))
+	got := s.Choose(newRand(), r, views(map[string]int{"alpen-b": 5, "nord-a": 50}))
 	assert.Equal(t, []string{"alpen-b"}, zones(got))
 }
 
 // Missing measurements mean "assume little", and old ones count for less.
 func TestUnknownAndOldViews(t *testing.T) {
 	s := newSteer()
-	assert.Empty(t, s.Choose(_now, newRand(), _atHome, views(nil)))
+	assert.Empty(t, s.Choose(newRand(), _atHome, views(nil)))
 	old := func(zone, _ string) steer.View {
 		return steer.View{Headroom: 2, Age: 4 * time.Second, Stale: 6 * time.Second, Known: zone == "nord-a"}
 	}
-	assert.Empty(t, s.Choose(_now, newRand(), _atHome, old), "a third of two slots is less than one")
+	assert.Empty(t, s.Choose(newRand(), _atHome, old), "a third of two slots is less than one")
 }
 
 // The window bounds what goes to a zone until answers let it grow in steps.
@@ -81,7 +81,7 @@
 	now := _now
 	fill := func() int {
 		n := 0
-		for len(s.Choose(now, newRand(), _atHome, view)) > 0 {
+		for len(s.Choose(newRand(), _atHome, view)) > 0 {
 			s.Begin(now, "nord-a", "katalog")
 			n++
 		}
@@ -108,12 +108,12 @@
 		s.Begin(_now, "nord-a", "katalog")
 	}
 	s.End(_now, "nord-a", "katalog", steer.Refused)
-	assert.Empty(t, s.Choose(_now, newRand(), _atHome, view), "what is under way fills the smaller window")
+	assert.Empty(t, s.Choose(newRand(), _atHome, view), "what is under way fills the smaller window")
 	for range steer.WindowStart - 1 {
 		s.End(_now, "nord-a", "katalog", steer.Refused) // of the same round trip
 	}
 	more := 0
-	for len(s.Choose(_now, newRand(), _atHome, view)) > 0 {
+	for len(s.Choose(newRand(), _atHome, view)) > 0 {
 		s.Begin(_now, "nord-a", "katalog")
 		more++
 	}
@@ -126,7 +126,7 @@
 	counts := make(map[string]int)
 	rng := newRand()
 	for range 400 {
-		got := newSteer().Choose(_now, rng, _atHome, views(map[string]int{"nord-a": 10, "nord-b": 10}))
+		got := newSteer().Choose(rng, _atHome, views(map[string]int{"nord-a": 10, "nord-b": 10}))
 		counts[got[0].Zone]++
 	}
 	assert.InDelta(t, 200, counts["nord-a"], 50)
