--- a/measure/policy/policy.go
+++ b/measure/policy/policy.go
@@ -133,6 +133,15 @@
 	load func(region int, at time.Duration) float64
 	// faults change the world at their time.
 	faults []fault
+	// length is the time measured; zero means _length.
+	length time.Duration
+}
+
+func (s scenario) lasts() time.Duration {
+	if s.length > 0 {
+		return s.length
+	}
+	return _length
 }
 
 type fault struct {
@@ -171,7 +180,10 @@
 		{name: "workerFastErrors", load: steady(0.5), faults: []fault{{_event, func(w *world) { w.workers[0].fastErrors = true }}}},
 		{name: "fifthOfWorkersCold", load: steady(0.6), faults: []fault{{_event, (*world).chill}}},
 		{name: "workerLeaves", load: steady(0.5), faults: []fault{{_event, func(w *world) { w.leaveWorker(w.workers[0]) }}}},
-		{name: "zoneDrained", load: steady(0.3), faults: []fault{{_event, func(w *world) { w.drainZone(w.zones[0].Name) }}}},
+		{
+			name: "zoneDrained", load: steady(0.3), length: 2 * _length,
+			faults: []fault{{_event, func(w *world) { w.drainZone(w.zones[0].Name) }}},
+		},
 		{name: "storeOut", load: steady(0.8), faults: []fault{{_event, func(w *world) { w.storeOut = true }}}},
 		{name: "monthEndAndStoreOut", load: tenfold, faults: []fault{{_event, func(w *world) { w.storeOut = true }}}},
 		{name: "monthEndAndMeasurementsStopped", load: tenfold, faults: []fault{{_event, func(w *world) { w.noReports = true }}}},
--- a/measure/policy/policy_test.go
+++ b/measure/policy/policy_test.go
@@ -37,6 +37,18 @@
 	assert.Positive(t, breaches)
 }
 
+// A planned drain of a zone ends after the time for which callers keep
+// answers, the spread of news and the requests that are open.
+func TestZoneDrainEnds(t *testing.T) {
+	for _, trial := range run(t, 1, "zoneDrained") {
+		if trial.Policy == policy.Wigeonlock {
+			assert.Positive(t, trial.DrainMs)
+			assert.Less(t, trial.DrainMs, 12_000.0)
+			assert.Greater(t, trial.GoodputShare, 0.95)
+		}
+	}
+}
+
 func TestTrialsAreRepeatable(t *testing.T) {
 	assert.Equal(t, run(t, 3, "zoneDrained"), run(t, 3, "zoneDrained"))
 }
--- a/measure/policy/result.go
+++ b/measure/policy/result.go
@@ -78,7 +78,7 @@
 func (w *world) ideal() float64 {
 	const step = 100 * time.Millisecond
 	sum := 0.0
-	for at := time.Duration(0); at < _length; at += step {
+	for at := time.Duration(0); at < w.scenario.lasts(); at += step {
 		sum += w.idealRate(at) * step.Seconds()
 	}
 	return sum
--- a/measure/policy/world.go
+++ b/measure/policy/world.go
@@ -233,7 +233,7 @@
 
 // run plays the trial.
 func (w *world) run() Trial {
-	end := w.start.Add(_warm + _length)
+	end := w.start.Add(_warm + w.scenario.lasts())
 	for _, f := range w.scenario.faults {
 		w.at(_warm+f.at-w.warmLess(f.at), func() { f.do(w) })
 	}
