--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,7 +28,6 @@
 package fleet
 
 import (
-	"math/bits"
 	"sort"
 	"strconv"
 	"time"
@@ -274,21 +273,6 @@
 	return known
 }
 
-// Zone returns the newest report of another zone and its age.
-func (f *Fleet) Zone(now time.Time, zoneName string) (Report, bool) {
-	z, ok := f.zones[ZoneID(zoneName)]
-	if !ok || now.Sub(z.made) >= StaleAfter {
-		return Report{}, false
-	}
-	r := Report{Zone: zoneName, Age: now.Sub(z.made)}
-	for i, l := range z.Loads {
-		if i < len(f.Services) {
-			r.Loads = append(r.Loads, ServiceLoad{f.Services[i], l.Slots, l.Busy, l.Headroom})
-		}
-	}
-	return r, true
-}
-
 // PeerAddress returns the peer address of a member, or an empty string.
 func (f *Fleet) PeerAddress(name string) string {
 	if s, ok := f.members[name]; ok {
@@ -297,22 +281,6 @@
 	return ""
 }
 
-// Busy returns the slots that other live members of the zone occupy in a service.
-func (f *Fleet) Busy(now time.Time, service string) int {
-	busy := 0
-	for _, s := range f.members {
-		if s.Zone != f.Self.Zone || f.suspected(now, s) {
-			continue
-		}
-		for i, l := range s.loads {
-			if i < len(f.Services) && f.Services[i] == service {
-				busy += l.Busy
-			}
-		}
-	}
-	return busy
-}
-
 // SuspectAfter is the silence after which a member of the own zone is left out
 // of look-up answers: twice the time that news take in the zone, and more for
 // lost messages.
@@ -342,97 +310,6 @@
 	f.services = ID(hash.Sum64())
 }
 
-// learn takes the names and addresses of a member. A newer incarnation is
-// never overruled by an older one, nor leaving by the lagging list.
-func (f *Fleet) learn(m Member) *seen {
-	s, ok := f.members[m.Name]
-	switch {
-	case !ok:
-		s = &seen{Member: m}
-		f.members[m.Name] = s
-	case m.Incarnation < s.Incarnation:
-		return s
-	case m.Incarnation > s.Incarnation:
-		delete(f.byID, s.ID())
-		*s = seen{Member: m}
-	default:
-		m.Leaving = m.Leaving || s.Leaving
-		s.Member = m
-	}
-	f.byID[s.ID()] = s
-	return s
-}
-
-// hear takes the sign of life that a message is for its sender.
-func (f *Fleet) hear(now time.Time, m Message) {
-	s, known := f.members[m.From.Name]
-	switch {
-	case m.Full:
-		s = f.learn(m.From)
-	case !known:
-		return
-	}
-	if m.From.Incarnation != s.Incarnation {
-		return // a late message of an earlier start, or one whose names are not known yet
-	}
-	s.heard = now
-	s.Leaving = s.Leaving || m.From.Leaving
-}
-
-func (f *Fleet) takeBeat(now time.Time, s *seen, b Beat, services ID) {
-	s.Leaving = s.Leaving || b.Leaving
-	heard := now.Add(-b.Age)
-	if heard.Before(s.heard) {
-		return // something newer is known
-	}
-	s.heard = heard
-	if services == f.services {
-		s.loads = b.Loads
-	}
-}
-
-func (f *Fleet) takeZone(now time.Time, b ZoneBeat, services ID) {
-	if b.ID == ZoneID(f.Self.Zone) {
-		return
-	}
-	made := now.Add(-b.Age)
-	z, ok := f.zones[b.ID]
-	if !ok {
-		z = &zone{}
-		f.zones[b.ID] = z
-	}
-	if !made.After(z.made) {
-		return
-	}
-	if services != f.services {
-		b.Loads = nil
-	}
-	z.ZoneBeat = b
-	z.made = made
-	if z.digest == z.Digest {
-		f.touch(now, z.roster)
-	}
-}
-
-// touch keeps members that a fresh report names from being forgotten, also
-// while the platform's list cannot be read.
-func (f *Fleet) touch(now time.Time, ids []ID) {
-	for _, id := range ids {
-		if s, ok := f.byID[id]; ok {
-			s.listed = now
-		}
-	}
-}
-
-func (f *Fleet) takeRoster(now time.Time, r Roster) {
-	z, ok := f.zones[r.Zone]
-	digest := digestOf(r.Members)
-	if !ok || z.Digest != digest || z.digest == digest {
-		return
-	}
-	z.roster, z.digest, z.changed = r.Members, digest, now
-}
-
 func (f *Fleet) suspected(now time.Time, s *seen) bool {
 	return now.Sub(s.heard) >= f.SuspectAfter()
 }
@@ -479,181 +356,6 @@
 	return live
 }
 
-// message tells what is known.
-func (f *Fleet) message(now time.Time) Message {
-	m := Message{Full: f.tick%_fullEvery == 1, Zone: ZoneID(f.Self.Zone), Services: f.services}
-	m.From = Member{Name: f.Self.Name, Incarnation: f.Self.Incarnation, Leaving: f.Self.Leaving}
-	if m.Full {
-		m.From = f.Self
-	}
-	m.Beats = append(m.Beats, Beat{ID: f.Self.ID(), Leaving: f.Self.Leaving, Loads: f.ownLoads(now)})
-	for _, s := range f.sorted() {
-		if s.Zone == f.Self.Zone && !f.suspected(now, s) {
-			m.Beats = append(m.Beats, Beat{ID: s.ID(), Age: now.Sub(s.heard), Leaving: s.Leaving, Loads: s.loads})
-		}
-	}
-	if len(f.zones) <= FewZones || f.tick%_manyZonesEvery == 0 {
-		f.tellZones(now, &m)
-	}
-	return m
-}
-
-// tellZones adds the reports of the other zones, with the rosters that changed
-// lately and some of the others in turn.
-func (f *Fleet) tellZones(now time.Time, m *Message) {
-	ids := make([]ID, 0, len(f.zones))
-	for id, z := range f.zones {
-		if now.Sub(z.made) < StaleAfter {
-			ids = append(ids, id)
-		}
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	f.turn++
-	for i, id := range ids {
-		z := f.zones[id]
-		beat := z.ZoneBeat
-		beat.Age = now.Sub(z.made)
-		m.Zones = append(m.Zones, beat)
-		inTurn := (i+f.turn)%len(ids) < _rostersInTurn
-		if z.digest == z.Digest && (inTurn || now.Sub(z.changed) < _rosterTime) {
-			m.Rosters = append(m.Rosters, Roster{Zone: id, Members: z.roster})
-		}
-	}
-}
-
-// next returns the member of the zone to tell next: by doubling distances
-// among those that are alive, and now and then a silent one.
-func (f *Fleet) next(now time.Time) (*seen, bool) {
-	var alive, silent []*seen
-	for _, s := range f.sorted() {
-		switch {
-		case s.Zone != f.Self.Zone || s.PeerAddress == "":
-		case f.suspected(now, s):
-			silent = append(silent, s)
-		default:
-			alive = append(alive, s)
-		}
-	}
-	if len(silent) > 0 && (len(alive) == 0 || f.tick%_reviveEvery == 0) {
-		return silent[f.tick/_reviveEvery%len(silent)], true
-	}
-	if len(alive) == 0 {
-		return nil, false
-	}
-	own := sort.Search(len(alive), func(i int) bool { return alive[i].Name > f.Self.Name })
-	distance := 1 << (f.tick % rounds(len(alive)+1))
-	return alive[(own+distance-1)%len(alive)], true
-}
-
-// reports tells other zones of the own one. The members that are alive share
-// the zones by their rank.
-func (f *Fleet) reports(now time.Time, m Message) []Send {
-	here := f.Live(now, f.Self.Zone)
-	rank := sort.Search(len(here), func(i int) bool { return here[i].Name >= f.Self.Name })
-	others := f.otherZones()
-	report := Message{From: m.From, Full: m.Full, Zone: m.Zone, Services: m.Services}
-	roster := make([]ID, len(here))
-	for i, member := range here {
-		roster[i] = member.ID()
-	}
-	report.Zones = []ZoneBeat{{ID: m.Zone, Digest: digestOf(roster), Loads: f.zoneLoads(now)}}
-	report.Rosters = []Roster{{Zone: m.Zone, Members: roster}}
-	var sends []Send
-	for i, members := range others {
-		if len(here) > 0 && i%len(here) != rank%len(here) {
-			continue
-		}
-		sends = append(sends, Send{To: f.receiver(now, members), Message: report})
-	}
-	return sends
-}
-
-// otherZones returns the members of each other zone, in the order of the zones.
-func (f *Fleet) otherZones() [][]*seen {
-	byZone := make(map[string][]*seen)
-	var names []string
-	for _, s := range f.sorted() {
-		if s.Zone == f.Self.Zone || s.Zone == "" || s.PeerAddress == "" {
-			continue
-		}
-		if len(byZone[s.Zone]) == 0 {
-			names = append(names, s.Zone)
-		}
-		byZone[s.Zone] = append(byZone[s.Zone], s)
-	}
-	sort.Strings(names)
-	others := make([][]*seen, len(names))
-	for i, name := range names {
-		others[i] = byZone[name]
-	}
-	return others
-}
-
-// receiver chooses the member of another zone that is told next, in turn among
-// those that its report calls alive; every fourth time among all.
-func (f *Fleet) receiver(now time.Time, members []*seen) Member {
-	turn := f.tick
-	if turn%_reviveEvery != 0 {
-		if live := f.liveIn(now, members[0].Zone); len(live) > 0 {
-			return live[turn%len(live)]
-		}
-	}
-	return members[turn/_reviveEvery%len(members)].Member
-}
-
-func (f *Fleet) reportInterval() time.Duration {
-	if len(f.zones) > FewZones {
-		return 2 * ReportInterval
-	}
-	return ReportInterval
-}
-
-func (f *Fleet) ownLoads(now time.Time) []Load {
-	loads := make([]Load, len(f.Services))
-	if f.Loads == nil {
-		return loads
-	}
-	for _, l := range f.Loads(now) {
-		for i, name := range f.Services {
-			if name == l.Service {
-				loads[i] = Load{l.Slots, l.Busy, l.Headroom}
-			}
-		}
-	}
-	return loads
-}
-
-// zoneLoads is the own view of the zone's load. Slots are the same for all
-// members; busy and headroom are sums over them.
-func (f *Fleet) zoneLoads(now time.Time) []Load {
-	total := f.ownLoads(now)
-	for _, s := range f.members {
-		if s.Zone != f.Self.Zone || f.suspected(now, s) {
-			continue
-		}
-		for i := range total {
-			if i < len(s.loads) {
-				total[i].Busy += s.loads[i].Busy
-				total[i].Headroom += s.loads[i].Headroom
-			}
-		}
-	}
-	return total
-}
-
-func (f *Fleet) forget(now time.Time) {
-	for name, s := range f.members {
-		newest := s.heard
-		if s.listed.After(newest) {
-			newest = s.listed
-		}
-		if now.Sub(newest) >= ForgetAfter {
-			delete(f.members, name)
-			delete(f.byID, s.ID())
-		}
-	}
-}
-
 func (f *Fleet) sorted() []*seen {
 	list := make([]*seen, 0, len(f.members))
 	for _, s := range f.members {
@@ -662,16 +364,3 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
-
-// rounds is the number of intervals in which news reach n members.
-func rounds(n int) int {
-	return max(bits.Len(uint(n-1)), 1)
-}
-
-func digestOf(ids []ID) ID {
-	hash := xxhash.New()
-	for _, id := range ids {
-		_, _ = hash.Write([]byte{byte(id), byte(id >> 8), byte(id >> 16), byte(id >> 24)})
-	}
-	return ID(hash.Sum64())
-}
