--- a/admission/admission.go
+++ b/admission/admission.go
@@ -410,18 +410,11 @@
 
 // tick serves the queue when workers become usable without a request ending.
 func (s *Service) tick(ctx context.Context) error {
-	ticker := time.NewTicker(_queueTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			for _, st := range s.stations {
-				st.mu.Lock()
-				deliver(st.Serve(now))
-				st.mu.Unlock()
-			}
+	return kernel.Every(ctx, _queueTick, func(now time.Time) {
+		for _, st := range s.stations {
+			st.mu.Lock()
+			deliver(st.Serve(now))
+			st.mu.Unlock()
 		}
-	}
+	})
 }
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wigeonlock/wigeonlock/kernel"
 )
 
 // _watchInterval is the time between looks at the callers' connections.
@@ -52,16 +54,7 @@
 }
 
 func (w *watcher) run(ctx context.Context) error {
-	tick := time.NewTicker(_watchInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			w.look(now)
-		}
-	}
+	return kernel.Every(ctx, _watchInterval, w.look)
 }
 
 func (w *watcher) look(now time.Time) {
--- a/lookup/service.go
+++ b/lookup/service.go
@@ -80,18 +80,7 @@
 		s.table.Store(NewTable(s.names, c.Book))
 	}
 	s.refresh(time.Now())
-	k.Go(ServiceName, func(ctx context.Context) error {
-		tick := time.NewTicker(RefreshInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case now := <-tick.C:
-				s.refresh(now)
-			}
-		}
-	})
+	k.Go(ServiceName, func(ctx context.Context) error { return kernel.Every(ctx, RefreshInterval, s.refresh) })
 	return nil
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -116,11 +116,11 @@
 		s.ctx = ctx
 		s.mu.Unlock()
 		s.untilReady(ctx, k)
-		return every(ctx, fleet.Interval, func() { s.beat(ctx, k) })
+		return kernel.Every(ctx, fleet.Interval, func(time.Time) { s.beat(ctx, k) })
 	})
 	k.Go(ServiceName, s.lookAround)
 	k.Go(ServiceName, func(ctx context.Context) error {
-		return every(ctx, _registerInterval, func() { s.register(ctx) })
+		return kernel.Every(ctx, _registerInterval, func(time.Time) { s.register(ctx) })
 	})
 	return nil
 }
@@ -453,16 +453,3 @@
 		s.Log.Warn("instance could not be registered", zap.Error(err))
 	}
 }
-
-func every(ctx context.Context, interval time.Duration, f func()) error {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			f()
-		}
-	}
-}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -238,18 +238,11 @@
 }
 
 func (k *Keeper) stepAll(ctx context.Context) error {
-	tick := time.NewTicker(_stepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	return kernel.Every(ctx, _stepInterval, func(time.Time) {
 		for name, h := range k.snapshot() {
 			k.step(ctx, name, h)
 		}
-	}
+	})
 }
 
 func (k *Keeper) snapshot() map[string]*Holder {
