--- a/dispatch/pay.go
+++ b/dispatch/pay.go
@@ -14,6 +14,8 @@
 
 const (
 	_releaseTime = time.Second
+	_settleTries = 3
+	_settlePause = 150 * time.Millisecond
 	// _claimShare is the part of the time left that a claim may take.
 	_claimShare = 0.5
 )
@@ -23,7 +25,7 @@
 func (s *Service) pay(ctx context.Context, r *relay.Request, t *plan.Tenant, idempotencyKey string) *relay.Answer {
 	key := payment.NewKey(r.Customer, r.Service, idempotencyKey)
 	attempt := rand.Text()
-	verdict, err := s.claim(ctx, key, attempt)
+	verdict, err := s.claimSettled(ctx, key, attempt)
 	switch {
 	case err != nil:
 		return relay.NotRun(relay.PaymentUnavailable)
@@ -45,6 +47,26 @@
 	return answer
 }
 
+// claimSettled claims a key. While another attempt has it and no outcome is
+// recorded, that attempt is probably under way or about to be given back: the
+// claim is tried a few times more before the caller is told that the outcome
+// is unknown.
+func (s *Service) claimSettled(ctx context.Context, key payment.Key, attempt string) (payment.Verdict, error) {
+	verdict, err := s.claim(ctx, key, attempt)
+	for range _settleTries {
+		if err != nil || verdict.Kind != payment.Duplicate || verdict.Claim.State == payment.Finished {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return verdict, nil
+		case <-time.After(_settlePause):
+		}
+		verdict, err = s.claim(ctx, key, attempt)
+	}
+	return verdict, err
+}
+
 func (s *Service) claim(ctx context.Context, key payment.Key, attempt string) (payment.Verdict, error) {
 	limit := s.Settings.LongestTimeout()
 	if deadline, ok := ctx.Deadline(); ok {
--- a/instance/fault_test.go
+++ b/instance/fault_test.go
@@ -349,3 +349,22 @@
 		require.Eventually(t, func() bool { return !inAnswer(n, victim) }, _long, 10*time.Millisecond, n.Settings.Instance)
 	}
 }
+
+// A payment repeated while the first one is under way gets its answer, once
+// that is recorded.
+func TestPaymentRepeatedWhileUnderWay(t *testing.T) {
+	c := start(t, nil)
+	for _, w := range c.Workers {
+		w.Behave(standin.Behaviour{Mode: standin.Slow, DelayMs: 100})
+	}
+	pay := call{method: http.MethodPost, path: "/pay", key: "under way", body: []byte("1")}
+	first := make(chan result, 1)
+	go func() { first <- pay.to(c.Nodes[0]) }()
+	require.Eventually(t, func() bool { return runsOf(c, "under way") == 1 }, _long, time.Millisecond)
+	second := pay.to(c.Nodes[1])
+	got := <-first
+	require.Equal(t, "run", got.outcome, got.reason)
+	assert.Equal(t, "run", second.outcome, second.reason)
+	assert.Equal(t, string(got.body), string(second.body))
+	assert.Equal(t, 1, runsOf(c, "under way"))
+}
