--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -230,7 +230,7 @@
 		return relay.Buffer(s.Here.Carry(attemptCtx, r))
 	}
 	s.mu.Lock()
-	s.planner.Begin(time.Now(), j, d)
+	s.planner.Begin(j, d)
 	s.mu.Unlock()
 	answer := relay.Buffer(s.Peers.Client().Carry(attemptCtx, d.Member.PeerAddress, r))
 	s.mu.Lock()
--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -145,8 +145,8 @@
 }
 
 // Begin records that a request is sent to another zone.
-func (p *Planner) Begin(now time.Time, j *Journey, d Destination) {
-	p.Steer.Begin(now, d.Zone, j.Service)
+func (p *Planner) Begin(j *Journey, d Destination) {
+	p.Steer.Begin(d.Zone, j.Service)
 }
 
 // End records what another zone answered.
--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -109,7 +109,7 @@
 	s := around(0, time.Second)
 	d, _ := p.Choose(_now, j, s)
 	require.Equal(t, "nord-a", d.Zone)
-	p.Begin(_now, j, d)
+	p.Begin(j, d)
 	p.End(_now, j, d, relay.NotRun(relay.Reason(quota.NoShare)))
 	d, _ = p.Choose(_now, journey("nord"), s)
 	assert.NotEqual(t, "nord-a", d.Zone)
--- a/findings/document.go
+++ b/findings/document.go
@@ -66,11 +66,6 @@
 	}
 }
 
-// Valid reports whether the document could be parsed.
-func (d *Document) Valid() bool {
-	return d.ok
-}
-
 // Add adds a finding at the value that a JSON pointer names, or at its nearest
 // parent present in the document.
 func (d *Document) Add(list *List, pointer, format string, args ...any) {
--- a/measure/policy/request.go
+++ b/measure/policy/request.go
@@ -105,7 +105,7 @@
 		w.admit(q)
 		return
 	}
-	n.planner.Begin(w.now, &q.journey, dest)
+	n.planner.Begin(&q.journey, dest)
 	q.at.node = w.node(dest.Member.Name)
 	if w.cut(n.zone, q.at.node.zone) || q.at.node.dead {
 		wait := time.Duration(float64(q.deadline.Sub(w.now)) * _attemptShare)
--- a/measure/policy/result.go
+++ b/measure/policy/result.go
@@ -20,7 +20,6 @@
 	overloaded   int
 	overload     float64
 	capBreaches  int
-	draining     bool
 	drain        time.Duration
 	afterLeaving time.Duration
 	headroom     map[string]float64
--- a/measure/policy/world.go
+++ b/measure/policy/world.go
@@ -441,7 +441,6 @@
 // drainZone stops the instances of a zone one after the other.
 func (w *world) drainZone(zone string) {
 	began := w.now
-	w.result.draining = true
 	var nodes []*node
 	for _, n := range w.nodes {
 		if n.zone.Name == zone {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,6 @@
 	QueueFull          Reason = "queueFull"
 	TooLate            Reason = "tooLate"
 	LinkFull           Reason = "linkFull"
-	Leaving            Reason = "leaving"
 	WorkerRefused      Reason = "workerRefused"
 	WorkerUnreachable  Reason = "workerUnreachable"
 	WorkerBroken       Reason = "workerBroken"
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -12,7 +12,7 @@
 //
 //	s := &steer.Steer{Zone: "tunis-a", Region: "tunis", Routes: routes}
 //	for _, dest := range s.Choose(rng, request, view) {
-//		s.Begin(now, dest, service)
+//		s.Begin(dest, service)
 //		// forward
 //		s.End(now, dest, service, steer.Accepted)
 //	}
@@ -112,8 +112,6 @@
 type window struct {
 	limit    float64
 	inFlight int
-	sent     int
-	sentAt   time.Time
 	grown    time.Time
 	shrunk   time.Time
 	refused  bool
@@ -168,11 +166,9 @@
 }
 
 // Begin counts a request in flight towards a zone.
-func (s *Steer) Begin(now time.Time, zone, service string) {
+func (s *Steer) Begin(zone, service string) {
 	w := s.window(zone, service)
 	w.inFlight++
-	w.sent++
-	w.sentAt = now
 }
 
 // End ends a request towards a zone and moves its window.
@@ -200,11 +196,6 @@
 	}
 }
 
-// InFlight returns the requests in flight towards a zone.
-func (s *Steer) InFlight(zone, service string) int {
-	return s.window(zone, service).inFlight
-}
-
 // group orders zones: the home region first, then the own region, then others.
 func (s *Steer) group(r Route, home string) int {
 	switch r.Region {
@@ -253,8 +244,3 @@
 	}
 	return w
 }
-
-// Limit returns the window towards a zone.
-func (s *Steer) Limit(zone, service string) float64 {
-	return s.window(zone, service).limit
-}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -82,7 +82,7 @@
 	fill := func() int {
 		n := 0
 		for len(s.Choose(newRand(), _atHome, view)) > 0 {
-			s.Begin(now, "nord-a", "katalog")
+			s.Begin("nord-a", "katalog")
 			n++
 		}
 		return n
@@ -105,7 +105,7 @@
 	s := newSteer()
 	view := views(map[string]int{"nord-a": 100})
 	for range steer.WindowStart {
-		s.Begin(_now, "nord-a", "katalog")
+		s.Begin("nord-a", "katalog")
 	}
 	s.End(_now, "nord-a", "katalog", steer.Refused)
 	assert.Empty(t, s.Choose(newRand(), _atHome, view), "what is under way fills the smaller window")
@@ -114,7 +114,7 @@
 	}
 	more := 0
 	for len(s.Choose(newRand(), _atHome, view)) > 0 {
-		s.Begin(_now, "nord-a", "katalog")
+		s.Begin("nord-a", "katalog")
 		more++
 	}
 	assert.Less(t, more, steer.WindowStart)
