Read once more: one piece for what stood twice

Range and unknown-name findings of settings and lists are methods of findings.Document; dispatch and admission find a request's customer by the same function, and admission takes tenant and allowance from one version of the lists instead of reading the current one twice; instance sets the default of Listen once for its three services; the two counters of attempts are made once instead of looked up by name at each attempt; an unused constant is gone. Behaviour and checks are the same.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -33,7 +33,7 @@
 	Ready func() error
 	// Status returns the status, which is sent as JSON.
 	Status func() any
-	// Listen replaces net.Listen.
+	// Listen opens the listener, as net.Listen does.
 	Listen func(network, address string) (net.Listener, error)
 
 	app *fiber.App
@@ -46,11 +46,7 @@
 
 // Start listens.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	listen := s.Listen
-	if listen == nil {
-		listen = net.Listen
-	}
-	l, err := listen("tcp", s.Address)
+	l, err := s.Listen("tcp", s.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for admin")
 	}
--- a/admission/admission.go
+++ b/admission/admission.go
@@ -183,11 +183,12 @@
 // is closed.
 func (s *Service) Carry(ctx context.Context, r *relay.Request) *relay.Answer {
 	now := time.Now()
-	tenant, refusal := s.tenant(r)
+	current := s.Lists.Current()
+	tenant, refusal := Find(current, s.Settings, r)
 	if refusal != nil {
 		return refusal
 	}
-	release, refusal := s.reserve(now, r, tenant)
+	release, refusal := s.reserve(now, r, tenant, current.Book)
 	if refusal != nil {
 		return refusal
 	}
@@ -197,12 +198,13 @@
 	return answer
 }
 
-func (s *Service) tenant(r *relay.Request) (*plan.Tenant, *relay.Answer) {
-	current := s.Lists.Current()
+// Find returns the customer of a request under the lists in force, or the
+// refusal of one that names an unknown service or customer.
+func Find(current *rollout.Current, s *settings.Settings, r *relay.Request) (*plan.Tenant, *relay.Answer) {
 	if current == nil {
 		return nil, relay.NotRun(relay.NoLists)
 	}
-	if _, ok := s.stations[r.Service]; !ok {
+	if _, ok := s.Service(r.Service); !ok {
 		return nil, relay.NotRun(relay.UnknownService)
 	}
 	tenant, ok := current.Book.Customer(r.Customer)
@@ -214,9 +216,11 @@
 
 // reserve takes the plan's allowance and shift cap, and returns the function
 // that frees them.
-func (s *Service) reserve(now time.Time, r *relay.Request, t *plan.Tenant) (func(), *relay.Answer) {
+func (s *Service) reserve(
+	now time.Time, r *relay.Request, t *plan.Tenant, book *plan.Book,
+) (func(), *relay.Answer) {
 	place := plan.Place{Plan: t.Plan.Name, Region: s.Settings.Region, Service: r.Service}
-	if refusal := s.reserveAllowance(now, r, place); refusal != nil {
+	if refusal := s.reserveAllowance(now, r, place, book.Allowance(place)); refusal != nil {
 		return nil, refusal
 	}
 	release := func() {
@@ -237,8 +241,9 @@
 	}, nil
 }
 
-func (s *Service) reserveAllowance(now time.Time, r *relay.Request, place plan.Place) *relay.Answer {
-	allowance := s.Lists.Current().Book.Allowance(place)
+func (s *Service) reserveAllowance(
+	now time.Time, r *relay.Request, place plan.Place, allowance plan.Allowance,
+) *relay.Answer {
 	if allowance.Slots == 0 {
 		return relay.NotRun(relay.NoAllowance)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,7 +29,6 @@
 	"github.com/wigeonlock/wigeonlock/plan"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
-	"github.com/wigeonlock/wigeonlock/rollout"
 	"github.com/wigeonlock/wigeonlock/settings"
 	"github.com/wigeonlock/wigeonlock/steer"
 )
@@ -48,7 +47,6 @@
 	_shortestTry    = 50 * time.Millisecond
 	_sameZoneOneWay = 5 * time.Millisecond
 	_otherOneWay    = 35 * time.Millisecond
-	_intraRegionMs  = 5
 )
 
 // Here runs requests in the own zone.
@@ -65,11 +63,6 @@
 	Failed(name string)
 }
 
-// Lists gives the lists in force.
-type Lists interface {
-	Current() *rollout.Current
-}
-
 // Peers connects to other instances.
 type Peers interface {
 	Client() *peer.Client
@@ -81,7 +74,7 @@
 	Settings *settings.Settings
 	Here     Here
 	Fleet    Fleet
-	Lists    Lists
+	Lists    admission.Lists
 	Peers    Peers
 	Payments *payment.Service
 	Log      *zap.Logger
@@ -99,6 +92,8 @@
 var (
 	_ kernel.Service = (*Service)(nil)
 
+	_ownZone       = metrics.NewCounter(`wigeonlock_attempts_total{where="ownZone"}`)
+	_otherZone     = metrics.NewCounter(`wigeonlock_attempts_total{where="otherZone"}`)
 	_firstTries    = metrics.NewCounter("wigeonlock_first_tries_total")
 	_budgetRefused = metrics.NewCounter("wigeonlock_retry_budget_refusals_total")
 	// _pressureRefused counts requests not sent again since many are refused.
@@ -149,7 +144,7 @@
 
 // Do brings a request to an answer. ctx bounds the time until its head.
 func (s *Service) Do(ctx context.Context, r *relay.Request) *relay.Answer {
-	tenant, refusal := s.tenant(r)
+	tenant, refusal := admission.Find(s.Lists.Current(), s.Settings, r)
 	if refusal != nil {
 		return refusal
 	}
@@ -161,21 +156,6 @@
 	return s.pay(ctx, r, tenant, key)
 }
 
-func (s *Service) tenant(r *relay.Request) (*plan.Tenant, *relay.Answer) {
-	current := s.Lists.Current()
-	if current == nil {
-		return nil, relay.NotRun(relay.NoLists)
-	}
-	if _, ok := s.Settings.Service(r.Service); !ok {
-		return nil, relay.NotRun(relay.UnknownService)
-	}
-	tenant, ok := current.Book.Customer(r.Customer)
-	if !ok {
-		return nil, relay.NotRun(relay.UnknownCustomer)
-	}
-	return tenant, nil
-}
-
 // carry tries zones and workers until the request ran or may not be tried again.
 func (s *Service) carry(ctx context.Context, r *relay.Request, tenant *plan.Tenant) *relay.Answer {
 	s.firstTry(r.Service)
@@ -333,11 +313,11 @@
 }
 
 func countAttempt(here bool) {
-	where := "otherZone"
 	if here {
-		where = "ownZone"
+		_ownZone.Inc()
+		return
 	}
-	metrics.GetOrCreateCounter(`wigeonlock_attempts_total{where="` + where + `"}`).Inc()
+	_otherZone.Inc()
 }
 
 func countRetry(reason relay.Reason) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,7 +66,7 @@
 	// Version returns the version of the lists in force.
 	Version func() uint64
 	Log     *zap.Logger
-	// Listen replaces net.Listen.
+	// Listen opens the listener, as net.Listen does.
 	Listen func(network, address string) (net.Listener, error)
 
 	app *fiber.App
@@ -83,11 +83,7 @@
 
 // Start listens for callers.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
-	listen := s.Listen
-	if listen == nil {
-		listen = net.Listen
-	}
-	l, err := listen("tcp", s.Settings.Callers.Listen)
+	l, err := s.Listen("tcp", s.Settings.Callers.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
--- a/findings/document.go
+++ b/findings/document.go
@@ -72,6 +72,23 @@
 	list.Add(d.findingAt(d.offset(pointer), fmt.Sprintf(format, args...)))
 }
 
+// AddOutside adds a finding if a value is not from low to high.
+func (d *Document) AddOutside(list *List, pointer string, value, low, high int) {
+	if value < low || value > high {
+		d.Add(list, pointer, "%d is not from %d to %d", value, low, high)
+	}
+}
+
+// AddUnknown adds a finding for a name that is not among the known ones, with
+// a suggestion if one is near.
+func (d *Document) AddUnknown(list *List, pointer, kind, name string, known []string) {
+	if s := Suggest(name, known); s != "" {
+		d.Add(list, pointer, "unknown %s %q; did you mean %q?", kind, name, s)
+		return
+	}
+	d.Add(list, pointer, "unknown %s %q", kind, name)
+}
+
 func (d *Document) offset(pointer string) int {
 	for p := pointer; p != ""; p = p[:strings.LastIndexByte(p, '/')] {
 		if v := d.root.Find(p); v != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -49,7 +49,7 @@
 	Directory platform.Directory
 	// Seed seeds random choices.
 	Seed uint64
-	// Listen replaces net.Listen.
+	// Listen replaces net.Listen for all addresses of the instance.
 	Listen func(network, address string) (net.Listener, error)
 }
 
@@ -72,6 +72,9 @@
 	if o.Directory == nil {
 		o.Directory = &platformhttp.Directory{URL: s.Platform.URL}
 	}
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
 	log := o.Log.With(zap.String("instance", s.Instance))
 	follower := &rollout.Follower{Store: o.Store, Log: log}
 	keeper := &quota.Keeper{
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -66,7 +66,7 @@
 	Lists    rollout.Source
 	Claims   Claims
 	Log      *zap.Logger
-	// Listen replaces net.Listen.
+	// Listen opens the listener, as net.Listen does.
 	Listen func(network, address string) (net.Listener, error)
 
 	server *grpc.Server
@@ -84,11 +84,7 @@
 	if err != nil {
 		return err
 	}
-	listen := s.Listen
-	if listen == nil {
-		listen = net.Listen
-	}
-	l, err := listen("tcp", s.Settings.Peers.Listen)
+	l, err := s.Listen("tcp", s.Settings.Peers.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
--- a/plan/check.go
+++ b/plan/check.go
@@ -78,8 +78,8 @@
 			doc.Add(list, at+"/name", "plan %q stands twice", p.Name)
 		}
 		names[p.Name] = struct{}{}
-		checkRange(doc, list, at+"/priority", p.Priority, 1, _maxPriority)
-		checkRange(doc, list, at+"/shiftSlots", p.ShiftSlots, 0, _maxSlots)
+		doc.AddOutside(list, at+"/priority", p.Priority, 1, _maxPriority)
+		doc.AddOutside(list, at+"/shiftSlots", p.ShiftSlots, 0, _maxSlots)
 		for j, c := range p.Customers {
 			atCustomer := fmt.Sprintf("%s/customers/%d", at, j)
 			checkName(doc, list, atCustomer+"/name", "customer", c.Name)
@@ -124,12 +124,12 @@
 	for i, a := range lists.Allowances {
 		at := fmt.Sprintf("/allowances/%d", i)
 		if _, ok := known[a.Plan]; !ok {
-			doc.Add(list, at+"/plan", "%s", unknownPlan(a.Plan, names))
+			doc.AddUnknown(list, at+"/plan", "plan", a.Plan, names)
 		}
 		checkName(doc, list, at+"/region", "region", a.Region)
 		checkName(doc, list, at+"/service", "service", a.Service)
-		checkRange(doc, list, at+"/slots", a.Slots, 0, _maxSlots)
-		checkRange(doc, list, at+"/mbitPerSecond", a.MbitPerSecond, 0, _maxMbit)
+		doc.AddOutside(list, at+"/slots", a.Slots, 0, _maxSlots)
+		doc.AddOutside(list, at+"/mbitPerSecond", a.MbitPerSecond, 0, _maxMbit)
 		place := Place{a.Plan, a.Region, a.Service}
 		if _, twice := seen[place]; twice {
 			doc.Add(list, at, "allowance of plan %q for %q in %q stands twice", a.Plan, a.Service, a.Region)
@@ -155,16 +155,3 @@
 		doc.Add(list, pointer, "name of %s is longer than %d bytes", kind, MaxNameBytes)
 	}
 }
-
-func checkRange(doc *findings.Document, list *findings.List, pointer string, value, low, high int) {
-	if value < low || value > high {
-		doc.Add(list, pointer, "%d is not from %d to %d", value, low, high)
-	}
-}
-
-func unknownPlan(name string, known []string) string {
-	if s := findings.Suggest(name, known); s != "" {
-		return fmt.Sprintf("unknown plan %q; did you mean %q?", name, s)
-	}
-	return fmt.Sprintf("unknown plan %q", name)
-}
--- a/settings/check.go
+++ b/settings/check.go
@@ -62,8 +62,8 @@
 	s.checkLinks(doc, list)
 	s.checkServices(doc, list)
 	s.checkTLS(doc, list)
-	checkRange(doc, list, "/lookupTtlMs", s.LookupTTLMs, 1, _maxLookupTTLMs)
-	checkRange(doc, list, "/drainMs", s.DrainMs, 1, _maxDrainMs)
+	doc.AddOutside(list, "/lookupTtlMs", s.LookupTTLMs, 1, _maxLookupTTLMs)
+	doc.AddOutside(list, "/drainMs", s.DrainMs, 1, _maxDrainMs)
 	if !slices.Contains(LogLevels, s.Log.Level) {
 		doc.Add(list, "/log/level", "log level %q is not one of %v", s.Log.Level, LogLevels)
 	}
@@ -142,7 +142,7 @@
 		at := fmt.Sprintf("/links/%d", i)
 		for _, end := range []struct{ key, region string }{{"/from", l.From}, {"/to", l.To}} {
 			if !slices.Contains(names, end.region) {
-				doc.Add(list, at+end.key, "%s", unknownName("region", end.region, names))
+				doc.AddUnknown(list, at+end.key, "region", end.region, names)
 			}
 		}
 		if l.From == l.To {
@@ -153,8 +153,8 @@
 			doc.Add(list, at, "link between %q and %q stands twice", l.From, l.To)
 		}
 		seen[key] = struct{}{}
-		checkRange(doc, list, at+"/oneWayMs", l.OneWayMs, 0, _maxTimeoutMs)
-		checkRange(doc, list, at+"/mbitPerSecond", l.MbitPerSecond, 1, 1_000_000)
+		doc.AddOutside(list, at+"/oneWayMs", l.OneWayMs, 0, _maxTimeoutMs)
+		doc.AddOutside(list, at+"/mbitPerSecond", l.MbitPerSecond, 1, 1_000_000)
 	}
 }
 
@@ -169,9 +169,9 @@
 			doc.Add(list, at+"/name", "service %q stands twice", svc.Name)
 		}
 		seen[svc.Name] = struct{}{}
-		checkRange(doc, list, at+"/slotsPerWorker", svc.SlotsPerWorker, 1, _maxSlots)
-		checkRange(doc, list, at+"/connectionsPerWorker", svc.ConnectionsPerWorker, 1, _maxSlots)
-		checkRange(doc, list, at+"/timeoutMs", svc.TimeoutMs, 1, _maxTimeoutMs)
+		doc.AddOutside(list, at+"/slotsPerWorker", svc.SlotsPerWorker, 1, _maxSlots)
+		doc.AddOutside(list, at+"/connectionsPerWorker", svc.ConnectionsPerWorker, 1, _maxSlots)
+		doc.AddOutside(list, at+"/timeoutMs", svc.TimeoutMs, 1, _maxTimeoutMs)
 		if svc.ConnectionsPerWorker > 0 && svc.ConnectionsPerWorker < svc.SlotsPerWorker {
 			doc.Add(list, at+"/connectionsPerWorker", "%d connections cannot fill %d slots",
 				svc.ConnectionsPerWorker, svc.SlotsPerWorker)
@@ -198,16 +198,3 @@
 		}
 	}
 }
-
-func checkRange(doc *findings.Document, list *findings.List, pointer string, value, low, high int) {
-	if value < low || value > high {
-		doc.Add(list, pointer, "%d is not from %d to %d", value, low, high)
-	}
-}
-
-func unknownName(kind, name string, known []string) string {
-	if s := findings.Suggest(name, known); s != "" {
-		return fmt.Sprintf("unknown %s %q; did you mean %q?", kind, name, s)
-	}
-	return fmt.Sprintf("unknown %s %q", kind, name)
-}
