Rename platform to listing: the list of instances is one thing, the users' platform another

The users' platform gets the folder platform/; the product's own lagging list of live instances keeps its interface under a name of its own.

--- a/cmd/wigeonlock/lists.go
+++ b/cmd/wigeonlock/lists.go
@@ -15,8 +15,8 @@
 	"github.com/wigeonlock/wigeonlock/findings"
 	"github.com/wigeonlock/wigeonlock/instance"
 	"github.com/wigeonlock/wigeonlock/plan"
-	"github.com/wigeonlock/wigeonlock/platform"
-	platformhttp "github.com/wigeonlock/wigeonlock/platform/http"
+	"github.com/wigeonlock/wigeonlock/listing"
+	listinghttp "github.com/wigeonlock/wigeonlock/listing/http"
 	"github.com/wigeonlock/wigeonlock/rollout"
 	"github.com/wigeonlock/wigeonlock/settings"
 	storehttp "github.com/wigeonlock/wigeonlock/store/http"
@@ -193,14 +193,14 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	directory := &platformhttp.Directory{URL: url}
+	directory := &listinghttp.Directory{URL: url}
 	records, err := directory.List(ctx)
 	if err != nil {
 		return errors.Wrap(err, "version is accepted, but the instances are not known")
 	}
 	open := make(map[string]string)
 	for _, rec := range records {
-		if rec.Kind == platform.Entry && rec.State == platform.Live {
+		if rec.Kind == listing.Entry && rec.State == listing.Live {
 			open[rec.Name] = rec.Address
 		}
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,8 +23,8 @@
 	"github.com/wigeonlock/wigeonlock/membership"
 	"github.com/wigeonlock/wigeonlock/payment"
 	"github.com/wigeonlock/wigeonlock/peer"
-	"github.com/wigeonlock/wigeonlock/platform"
-	platformhttp "github.com/wigeonlock/wigeonlock/platform/http"
+	"github.com/wigeonlock/wigeonlock/listing"
+	listinghttp "github.com/wigeonlock/wigeonlock/listing/http"
 	"github.com/wigeonlock/wigeonlock/quota"
 	"github.com/wigeonlock/wigeonlock/rollout"
 	"github.com/wigeonlock/wigeonlock/settings"
@@ -46,7 +46,7 @@
 	Log *zap.Logger
 	// Store and Directory replace the ones at the platform's URL.
 	Store     store.Store
-	Directory platform.Directory
+	Directory listing.Directory
 	// Seed seeds random choices.
 	Seed uint64
 	// Listen replaces net.Listen for all addresses of the instance.
@@ -70,7 +70,7 @@
 		o.Store = storehttp.New(s.Platform.URL)
 	}
 	if o.Directory == nil {
-		o.Directory = &platformhttp.Directory{URL: s.Platform.URL}
+		o.Directory = &listinghttp.Directory{URL: s.Platform.URL}
 	}
 	if o.Listen == nil {
 		o.Listen = net.Listen
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -20,7 +20,7 @@
 	"github.com/wigeonlock/wigeonlock/fleet"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/peer"
-	"github.com/wigeonlock/wigeonlock/platform"
+	"github.com/wigeonlock/wigeonlock/listing"
 	"github.com/wigeonlock/wigeonlock/rollout"
 	"github.com/wigeonlock/wigeonlock/settings"
 	"github.com/wigeonlock/wigeonlock/steer"
@@ -49,7 +49,7 @@
 
 // Workers takes the workers of the platform's list and gives the own load.
 type Workers interface {
-	Listed(now time.Time, records []platform.Record)
+	Listed(now time.Time, records []listing.Record)
 	Loads(now time.Time) []fleet.ServiceLoad
 	// Workers returns the number of workers listed in the own zone.
 	Workers() int
@@ -59,7 +59,7 @@
 // set before Start.
 type Service struct {
 	Settings  *settings.Settings
-	Directory platform.Directory
+	Directory listing.Directory
 	Peers     Peers
 	Workers   Workers
 	Lists     *rollout.Follower
@@ -421,10 +421,10 @@
 	now := time.Now()
 	var members []fleet.Member
 	for _, rec := range records {
-		if rec.Kind == platform.Entry {
+		if rec.Kind == listing.Entry {
 			members = append(members, fleet.Member{
 				Name: rec.Name, Region: rec.Region, Zone: rec.Zone,
-				Address: rec.Address, PeerAddress: rec.PeerAddress, Incarnation: rec.Incarnation, Leaving: rec.State == platform.Leaving,
+				Address: rec.Address, PeerAddress: rec.PeerAddress, Incarnation: rec.Incarnation, Leaving: rec.State == listing.Leaving,
 			})
 		}
 	}
@@ -441,12 +441,12 @@
 	if !ready {
 		return // nobody is to come here yet
 	}
-	state := platform.Live
+	state := listing.Live
 	if self.Leaving {
-		state = platform.Leaving
+		state = listing.Leaving
 	}
-	err := s.Directory.Register(ctx, platform.Record{
-		Name: self.Name, Kind: platform.Entry, State: state, Region: self.Region, Zone: self.Zone,
+	err := s.Directory.Register(ctx, listing.Record{
+		Name: self.Name, Kind: listing.Entry, State: state, Region: self.Region, Zone: self.Zone,
 		Address: self.Address, PeerAddress: self.PeerAddress, Incarnation: self.Incarnation,
 	}, _registerTTL)
 	if err != nil && !errors.Is(err, context.Canceled) {
