--- /dev/null
+++ b/cmd/wigeonlock/entry.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"runtime/debug"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/wigeonlock/wigeonlock/site"
+)
+
+const (
+	// _gcPercent keeps the heap small: memory is paid by its peak, and the heap
+	// of an instance is a few megabytes.
+	_gcPercent = 100
+	// _memoryShare is the part of the memory that Go may use before it collects
+	// without regard to cost.
+	_memoryShare = 0.7
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run an entry instance on the users' platform until it is told to stop",
+		Description: "Takes callers, forwards their requests to any worker and follows the platform's store.\n" +
+			"SIGTERM or SIGINT makes the instance leave gracefully; SIGHUP reads the settings again.",
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "settings `FILE`"}},
+		Action: runEntry,
+	}
+}
+
+func runEntry(ctx context.Context, c *cli.Command) error {
+	s, err := site.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	level, err := zapcore.ParseLevel(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(_gcPercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMb) * _memoryShare * (1 << 20)))
+	log := newLineLogger(level)
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	i := site.New(s, log)
+	go i.Reload(ctx, c.String("settings"))
+	if err := i.Run(ctx); err != nil {
+		log.Error("instance failed", zap.Error(err))
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/exchange/do.go
@@ -0,0 +1,272 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+const (
+	// _maxBody bounds the answer that is held whole.
+	_maxBody = 64 << 20
+	// _wholeWrite is the size up to which a body is sent before the answer is
+	// read; a worker may answer a longer one early.
+	_wholeWrite = 16 << 10
+)
+
+var (
+	errStray    = errors.New("answer belongs to another request")
+	errEncoded  = errors.New("answer has an encoding that nobody asked for")
+	errTooLarge = errors.New("answer is too large")
+)
+
+// Do sends a request to a worker and reads the answer whole. ctx bounds it;
+// its deadline is told to the worker.
+func (p *Pool) Do(ctx context.Context, t Target, r *relay.Request, repeatable bool) Result {
+	started := time.Now()
+	longest := _provenIdle
+	if repeatable {
+		longest = time.Hour
+	}
+	c := p.take(t.Address, longest)
+	if c == nil {
+		var err error
+		c, err = p.dial(ctx, t.Address)
+		if err != nil {
+			return p.notSent(ctx, started)
+		}
+	}
+	result := p.exchange(ctx, c, t, r)
+	result.Took = time.Since(started)
+	return result
+}
+
+func (p *Pool) notSent(ctx context.Context, started time.Time) Result {
+	result := Result{Answer: relay.NotRun(relay.WorkerUnreachable), Fault: Unreachable, Took: time.Since(started)}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		result.Answer.Reason, result.Fault = relay.CallerLeft, Left
+	}
+	return result
+}
+
+func (p *Pool) exchange(ctx context.Context, c *conn, t Target, r *relay.Request) Result {
+	result := Result{Arrived: true, Reused: c.used}
+	if at, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(at)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	written, err := p.send(ctx, c, t, r)
+	if err == nil {
+		err = p.receive(c, r, &result)
+	}
+	live := stop()
+	if err != nil {
+		c.close()
+		return p.failed(ctx, result, err)
+	}
+	if !live || !p.reusable(c, written, &result) {
+		c.close()
+		return result
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.used = true
+	p.put(t.Address, c)
+	return result
+}
+
+// reusable reports whether nothing is left over of the exchange.
+func (p *Pool) reusable(c *conn, written func() bool, result *Result) bool {
+	if c.reader.Buffered() > 0 {
+		_surpluses.Inc()
+		return false
+	}
+	return !result.closing && written()
+}
+
+// send writes head and body. The function it returns tells whether all of it
+// has been written.
+func (p *Pool) send(ctx context.Context, c *conn, t Target, r *relay.Request) (func() bool, error) {
+	var head bytes.Buffer
+	p.writeHead(ctx, &head, t, r)
+	body := r.Body.Bytes
+	if len(body) <= _wholeWrite {
+		head.Write(body)
+		_, err := c.Write(head.Bytes())
+		return func() bool { return true }, err
+	}
+	if _, err := c.Write(head.Bytes()); err != nil {
+		return nil, err
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Write(body)
+		done <- err
+	}()
+	return func() bool {
+		select {
+		case err := <-done:
+			return err == nil
+		default:
+			return false
+		}
+	}, nil
+}
+
+func (p *Pool) writeHead(ctx context.Context, w *bytes.Buffer, t Target, r *relay.Request) {
+	w.WriteString(r.Method)
+	w.WriteByte(' ')
+	w.WriteString(r.URI)
+	w.WriteString(" HTTP/1.1\r\n")
+	field(w, "Host", r.Host)
+	for _, h := range r.Header {
+		field(w, h.Name, h.Value)
+	}
+	field(w, p.Names.RequestID, r.ID)
+	if at, ok := ctx.Deadline(); ok {
+		field(w, p.Names.TimeLeft, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
+	}
+	field(w, p.Names.Expect, t.ID)
+	if r.Body.Length > 0 || r.HasLength {
+		field(w, "Content-Length", strconv.FormatInt(r.Body.Length, 10))
+	}
+	w.WriteString("\r\n")
+}
+
+func field(w *bytes.Buffer, name, value string) {
+	w.WriteString(name)
+	w.WriteString(": ")
+	w.WriteString(value)
+	w.WriteString("\r\n")
+}
+
+// receive reads answers until the one to this request is whole.
+func (p *Pool) receive(c *conn, r *relay.Request, result *Result) error {
+	for range _maxStray + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		body, err := readBody(resp)
+		if err != nil {
+			return err
+		}
+		if p.belongs(resp, r) {
+			return p.accept(c, resp, body, result)
+		}
+		_strays.Inc()
+	}
+	return errStray
+}
+
+// belongs reports whether an answer is the one to a request. Refusals need not
+// name it.
+func (p *Pool) belongs(resp *http.Response, r *relay.Request) bool {
+	id := resp.Header.Get(p.Names.RequestID)
+	if id == "" {
+		return p.notRun(resp)
+	}
+	return id == r.ID
+}
+
+func (p *Pool) notRun(resp *http.Response) bool {
+	return resp.Header.Get(p.Names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+func readBody(resp *http.Response) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength > _maxBody {
+		return nil, errTooLarge
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, max(min(resp.ContentLength, 1<<20), bytes.MinRead)))
+	n, err := io.Copy(buf, io.LimitReader(resp.Body, _maxBody+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case n > _maxBody:
+		return nil, errTooLarge
+	case resp.ContentLength > 0 && n < resp.ContentLength && resp.Request.Method != http.MethodHead:
+		return nil, io.ErrUnexpectedEOF
+	}
+	return buf.Bytes(), nil
+}
+
+// accept turns a whole answer into a result.
+func (p *Pool) accept(c *conn, resp *http.Response, body []byte, result *Result) error {
+	result.Load = parseLoad(resp.Header.Get(p.Names.Load))
+	switch {
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		result.Fault = Misdirected
+		result.Answer = relay.NotRun(relay.WorkerRefused)
+	case p.notRun(resp):
+		result.Fault = Refused
+		result.Answer = relay.NotRun(relay.WorkerRefused)
+	case resp.Header.Get("Content-Encoding") != "":
+		return errEncoded
+	default:
+		result.Answer = answerOf(resp, body)
+	}
+	result.closing = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	c.keep(resp.Header)
+	return nil
+}
+
+func answerOf(resp *http.Response, body []byte) *relay.Answer {
+	a := &relay.Answer{Outcome: retry.Run, Reason: relay.Served, Status: resp.StatusCode}
+	relay.SetBytes(a, body)
+	if resp.Request.Method == http.MethodHead {
+		a.Length = max(resp.ContentLength, 0)
+	}
+	a.Header = make([]relay.Header, 0, len(resp.Header))
+	for name, values := range resp.Header {
+		for _, v := range values {
+			a.Header = append(a.Header, relay.Header{Name: name, Value: v})
+		}
+	}
+	a.Header = relay.EndToEnd(a.Header)
+	return a
+}
+
+func parseLoad(text string) *Load {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return nil
+	}
+	var values [3]int
+	for i, part := range parts {
+		v, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || v < 0 {
+			return nil
+		}
+		values[i] = v
+	}
+	return &Load{Running: values[0], Waiting: values[1], Slots: values[2]}
+}
+
+// failed classifies an exchange that gave no answer. The request was sent, so
+// it may have run.
+func (p *Pool) failed(ctx context.Context, result Result, err error) Result {
+	result.Answer, result.Fault = relay.Unknown(relay.WorkerBroken), Broken
+	var timeout net.Error
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		result.Answer.Reason, result.Fault = relay.CallerLeft, Left
+	case ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout():
+		result.Answer.Reason, result.Fault = relay.WorkerSilent, Silent
+	case errors.Is(err, errStray), errors.Is(err, errEncoded), errors.Is(err, errTooLarge):
+		result.Answer.Reason, result.Fault = relay.ForeignAnswer, Spoiled
+	}
+	return result
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,234 @@
+// Package exchange carries one request to one worker and its answer back, over
+// connections of its own, and tells what is known of the request afterwards.
+//
+// Nothing is sent a second time here. A connection is used again only if its
+// last exchange ended cleanly, nothing came after it, and it was idle for less
+// than the worker keeps it. An answer counts only if it names the request, is
+// whole and carries the worker's own bytes.
+//
+// # Usage
+//
+//	pool := &exchange.Pool{Names: names}
+//	result := pool.Do(ctx, exchange.Target{ID: "i-7", Address: "10.1.0.9:80"}, request)
+//	switch result.Answer.Outcome {
+//	case retry.NotRun: // may be sent elsewhere
+//	}
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/wigeonlock/wigeonlock/relay"
+)
+
+const (
+	// _dialTimeout bounds the time to a connection: four round trips between
+	// regions.
+	_dialTimeout = 300 * time.Millisecond
+	// _userTimeout bounds the time for which sent bytes may stay unacknowledged.
+	_userTimeout = 1500 * time.Millisecond
+	// _keepAliveIdle and _keepAliveInterval find a silent connection while an
+	// answer is awaited.
+	_keepAliveIdle     = 2 * time.Second
+	_keepAliveInterval = time.Second
+	_keepAliveCount    = 2
+	// _defaultIdle is how long a connection is kept when the worker does not say.
+	_defaultIdle = 4 * time.Second
+	// _idleMargin is the part of the worker's idle time that is used.
+	_idleMargin = 0.6
+	// _provenIdle is how long a connection may have been idle for a request that
+	// must not run twice: a reset on it leaves the outcome unknown.
+	_provenIdle = time.Second
+	// _maxIdle bounds the idle connections to one worker.
+	_maxIdle = 16
+	// _maxStray bounds the late answers to other requests that are passed over.
+	_maxStray = 2
+)
+
+// Names are the names of the headers that workers and this instance exchange.
+type Names struct {
+	RequestID string
+	// TimeLeft is in milliseconds.
+	TimeLeft string
+	// Expect names the worker that is meant.
+	Expect string
+	// NotRun marks an answer to a request that did not run.
+	NotRun string
+	// Load is running, waiting and slots, separated by commas.
+	Load string
+	// Cold is for how many milliseconds the worker stays cold.
+	Cold string
+	// Object names what a request concerns.
+	Object string
+}
+
+// Target is a worker to send to.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Load is what a worker says of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Fault tells what went wrong with an exchange.
+type Fault string
+
+const (
+	// None means that there is an answer.
+	None Fault = ""
+	// Unreachable means that no connection could be made.
+	Unreachable Fault = "unreachable"
+	// Broken means that the connection ended before the answer did.
+	Broken Fault = "broken"
+	// Spoiled means that the bytes are no whole answer to this request.
+	Spoiled Fault = "spoiled"
+	// Silent means that no answer came in time.
+	Silent Fault = "silent"
+	// Left means that the caller left.
+	Left Fault = "callerLeft"
+	// Misdirected means that another worker has the address.
+	Misdirected Fault = "misdirected"
+	// Refused means that the worker did not run the request.
+	Refused Fault = "refused"
+)
+
+// Result is what came of an exchange.
+type Result struct {
+	// Answer is never nil; it has a body only if the request ran.
+	Answer *relay.Answer
+	Fault  Fault
+	// Arrived is set when the worker may have seen the request.
+	Arrived bool
+	// Reused is set when the connection had been used before.
+	Reused bool
+	// Load is nil unless the worker told it.
+	Load *Load
+	// Took is the time from sending to the last byte of the answer.
+	Took time.Duration
+
+	// closing is set when the worker ends the connection.
+	closing bool
+}
+
+// Pool keeps connections to workers. The exported fields are set before the
+// first use.
+type Pool struct {
+	Names Names
+	// Dial replaces the dialer, for tests.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
+}
+
+var (
+	_dials     = metrics.NewCounter("wigeonlock_worker_dials_total")
+	_reuses    = metrics.NewCounter("wigeonlock_worker_connection_reuses_total")
+	_stale     = metrics.NewCounter("wigeonlock_worker_connections_stale_total")
+	_strays    = metrics.NewCounter("wigeonlock_stray_answers_total")
+	_surpluses = metrics.NewCounter("wigeonlock_surplus_bytes_total")
+)
+
+// take returns an idle connection that may be used again, or nil.
+func (p *Pool) take(address string, longest time.Duration) *conn {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		list := p.idle[address]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		idle := now.Sub(c.since)
+		if idle > longest && idle <= c.idleLimit {
+			p.mu.Unlock()
+			return nil
+		}
+		p.idle[address] = list[:len(list)-1]
+		p.mu.Unlock()
+		if idle <= c.idleLimit && c.quiet() {
+			_reuses.Inc()
+			return c
+		}
+		_stale.Inc()
+		c.close()
+	}
+}
+
+// put keeps a connection for another exchange.
+func (p *Pool) put(address string, c *conn) {
+	c.since = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*conn)
+	}
+	if len(p.idle[address]) >= _maxIdle {
+		c.close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Drop closes the idle connections to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.close()
+	}
+}
+
+// Sweep closes connections that were idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	var stale []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.since) > c.idleLimit {
+				stale = append(stale, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range stale {
+		c.close()
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	_dials.Inc()
+	ctx, cancel := context.WithTimeout(ctx, _dialTimeout)
+	defer cancel()
+	dial := p.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(nc), nil
+}
--- /dev/null
+++ b/placement/pacer.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// _pacerOwners is the number of instances that may send to a cold worker.
+	// Where views of the membership differ there may be twice as many.
+	_pacerOwners = 4
+	// _pacerMargin is the part of the bound that the owners use together, so
+	// that twice as many stay below it.
+	_pacerMargin = 0.45
+)
+
+// Pacer bounds what all instances together send to a cold worker: a few of
+// them own it, and each keeps a pace of its own. It is not safe for concurrent
+// use.
+type Pacer struct {
+	// Self is the name of the instance.
+	Self string
+
+	last map[string]time.Time
+}
+
+// Allow permits one request to a cold worker. perSecond is what all instances
+// together may send in any one second.
+func (p *Pacer) Allow(now time.Time, id string, perSecond float64, instances []string) bool {
+	if !p.owns(id, instances) {
+		return false
+	}
+	pace := perSecond * _pacerMargin / _pacerOwners
+	if pace < 1 {
+		return false
+	}
+	if now.Sub(p.last[id]) < time.Duration(float64(time.Second)/pace) {
+		return false
+	}
+	if p.last == nil {
+		p.last = make(map[string]time.Time)
+	}
+	p.last[id] = now
+	return true
+}
+
+// owns reports whether the instance is among the owners of a worker.
+func (p *Pacer) owns(id string, instances []string) bool {
+	worker := xxhash.Sum64String(id)
+	own := mix(worker ^ xxhash.Sum64String(p.Self))
+	before := 0
+	for _, name := range instances {
+		if name != p.Self && mix(worker^xxhash.Sum64String(name)) > own {
+			before++
+		}
+	}
+	return before < _pacerOwners
+}
+
+// Forget drops workers that are warm.
+func (p *Pacer) Forget(now time.Time) {
+	for id, at := range p.last {
+		if now.Sub(at) > time.Minute {
+			delete(p.last, id)
+		}
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,289 @@
+// Package placement decides which worker gets a request.
+//
+// Requests for the same object go to the same worker, since a worker that
+// handled an object recently is several times faster. Each worker gets a score
+// from the object and its ID, alike on all instances, and the best one is
+// taken; when workers come or go, only their own objects move. Workers of
+// other regions count for less, since the way there takes time. A request
+// leaves the best worker only when that one has no room, for the next in the
+// same order, so that an object is warm on few workers.
+//
+// # Usage
+//
+//	p := &placement.Placer{Zone: "a", Region: "r", RegionOf: regionOf}
+//	choice := p.Choose(now, placement.Request{Object: "17"}, workers)
+//	if choice.Worker == nil {
+//		// choice.Reason tells why
+//	}
+//	p.Begin(choice.Worker.ID)
+//	p.End(now, choice.Worker.ID, outcome)
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonlock/wigeonlock/worker"
+)
+
+const (
+	// _otherRegion is the weight of a worker in another region beside one of
+	// the own region; measured on days of both deployments.
+	_otherRegion = 0.25
+	// _fullLoad is the load, in requests for each slot, above which a request
+	// goes to the next worker: a worker turns requests away at four.
+	_fullLoad = 3.0
+	// _loadAge is how long a worker's word on its load counts.
+	_loadAge = time.Second
+	// _shedTime is how long a worker that turned a request away counts as full.
+	_shedTime = 100 * time.Millisecond
+	// _faultBase and _faultMax bound the time for which a worker that failed is
+	// avoided.
+	_faultBase = 500 * time.Millisecond
+	_faultMax  = 8 * time.Second
+)
+
+// Reason tells why there is no worker.
+type Reason string
+
+// Reasons for having no worker.
+const (
+	NoWorkers Reason = "noWorkers"
+	NoRoom    Reason = "noRoom"
+	AllTried  Reason = "allTried"
+)
+
+// Request is what placing needs to know of a request.
+type Request struct {
+	// Object names what the request concerns; requests without one are spread.
+	Object string
+	// MayServe bounds the regions that may serve it.
+	MayServe func(region string) bool
+	// Closed reports whether a zone must get nothing new.
+	Closed func(zone string) bool
+	// Tried names the workers that it was sent to before.
+	Tried []string
+	// MayWarm asks for leave to send to a cold worker.
+	MayWarm func(w *worker.Worker) bool
+}
+
+// Choice is the worker for a request.
+type Choice struct {
+	Worker *worker.Worker
+	Reason Reason
+	// Load is what the worker was thought to have, in requests for each slot.
+	Load float64
+	// Rank counts the workers that were passed over; 0 is the best.
+	Rank int
+}
+
+// Outcome tells how an exchange with a worker ended.
+type Outcome string
+
+// Outcomes of an exchange.
+const (
+	Answered Outcome = "answered"
+	Errored  Outcome = "errored"
+	Shed     Outcome = "shed"
+	Failed   Outcome = "failed"
+	Moved    Outcome = "moved"
+	Dropped  Outcome = "dropped"
+	// Unreachable means that no connection could be made: it may have started
+	// anew and be cold.
+	Unreachable Outcome = "unreachable"
+)
+
+// Report is what an exchange told of a worker.
+type Report struct {
+	Outcome Outcome
+	// Waiting and Running are the worker's word on its load; Told is set if it
+	// gave one.
+	Told    bool
+	Running int
+	Waiting int
+}
+
+// Placer chooses workers. It is not safe for concurrent use.
+type Placer struct {
+	// Zone and Region are where the instance stands.
+	Zone   string
+	Region string
+	// RegionOf returns the region of a zone.
+	RegionOf func(zone string) string
+
+	known   map[string]*state
+	ranking []ranked
+}
+
+// state is what this instance found out about a worker by itself.
+type state struct {
+	inFlight int
+	// told is the worker's word on its load, as of toldAt with toldInFlight
+	// requests of this instance under way.
+	told         int
+	toldInFlight int
+	toldAt       time.Time
+	shedUntil    time.Time
+	// faults counts failures in a row; avoidUntil is when it is tried again.
+	faults     int
+	faultAt    time.Time
+	avoidUntil time.Time
+	// unreachableAt and movedAt are when it could not be reached, and when
+	// another one had its address. Both hold until there is news of it.
+	unreachableAt time.Time
+	movedAt       time.Time
+}
+
+type ranked struct {
+	w     *worker.Worker
+	score float64
+}
+
+// Choose returns the worker for a request.
+func (p *Placer) Choose(now time.Time, r Request, workers []*worker.Worker) Choice {
+	p.rank(now, r, workers)
+	if len(p.ranking) == 0 {
+		return Choice{Reason: NoWorkers}
+	}
+	best := Choice{Reason: NoRoom}
+	tried := 0
+	for i, candidate := range p.ranking {
+		w := candidate.w
+		if contains(r.Tried, w.ID) {
+			tried++
+			continue
+		}
+		s := p.state(w.ID)
+		if p.avoided(now, w, s) {
+			continue
+		}
+		load := s.load(now, w)
+		if load >= _fullLoad || now.Before(s.shedUntil) {
+			continue
+		}
+		if (w.Cold(now) || s.unreachableAt.After(w.LastNews)) && !r.MayWarm(w) {
+			continue
+		}
+		return Choice{Worker: w, Load: load, Rank: i}
+	}
+	if tried == len(p.ranking) {
+		best.Reason = AllTried
+	}
+	return best
+}
+
+// rank orders the workers that may serve a request, best first.
+func (p *Placer) rank(now time.Time, r Request, workers []*worker.Worker) {
+	p.ranking = p.ranking[:0]
+	object := xxhash.Sum64String(r.Object)
+	for _, w := range workers {
+		region := p.RegionOf(w.Zone)
+		if !w.Usable(now) || r.Closed(w.Zone) || !r.MayServe(region) {
+			continue
+		}
+		weight := float64(max(w.Slots, 1))
+		if region != p.Region {
+			weight *= _otherRegion
+		}
+		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, weight)})
+	}
+	sort.Slice(p.ranking, func(i, j int) bool { return p.ranking[i].score > p.ranking[j].score })
+}
+
+// score is the weighted rendezvous score of a worker for an object.
+func score(object uint64, id string, weight float64) float64 {
+	h := mix(object ^ xxhash.Sum64String(id))
+	unit := (float64(h>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(unit)
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// avoided reports whether a worker failed lately, or lost its address, with no
+// word of it since.
+func (p *Placer) avoided(now time.Time, w *worker.Worker, s *state) bool {
+	if !s.movedAt.IsZero() && !w.LastNews.After(s.movedAt) {
+		return true
+	}
+	return now.Before(s.avoidUntil)
+}
+
+func (s *state) load(now time.Time, w *worker.Worker) float64 {
+	busy := s.inFlight
+	if now.Sub(s.toldAt) < _loadAge {
+		busy = max(busy, s.told+s.inFlight-s.toldInFlight)
+	}
+	return float64(busy) / float64(max(w.Slots, 1))
+}
+
+func (p *Placer) state(id string) *state {
+	s := p.known[id]
+	if s == nil {
+		s = &state{}
+		if p.known == nil {
+			p.known = make(map[string]*state)
+		}
+		p.known[id] = s
+	}
+	return s
+}
+
+// Begin records a request on its way to a worker.
+func (p *Placer) Begin(id string) {
+	p.state(id).inFlight++
+}
+
+// End records how an exchange with a worker ended.
+func (p *Placer) End(now time.Time, id string, r Report) {
+	s := p.state(id)
+	s.inFlight--
+	if r.Told {
+		s.told, s.toldInFlight, s.toldAt = r.Running+r.Waiting, s.inFlight, now
+	}
+	switch r.Outcome {
+	case Answered:
+		s.faults = 0
+	case Shed:
+		s.shedUntil = now.Add(_shedTime)
+	case Failed, Unreachable:
+		if r.Outcome == Unreachable {
+			s.unreachableAt = now
+		}
+		if now.Sub(s.faultAt) > _faultMax {
+			s.faults = 0
+		}
+		s.faultAt = now
+		s.avoidUntil = now.Add(min(_faultBase<<min(s.faults, 8), _faultMax))
+		s.faults++
+	case Moved:
+		s.movedAt = now
+	}
+}
+
+// Forget drops what is known of workers that are gone.
+func (p *Placer) Forget(gone func(id string) bool) {
+	for id, s := range p.known {
+		if s.inFlight == 0 && gone(id) {
+			delete(p.known, id)
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"context"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/wigeonlock/wigeonlock/retry"
 )
@@ -78,6 +79,8 @@
 	PaymentFull        Reason = "paymentClaimsFull"
 	BodyTooLarge       Reason = "bodyTooLarge"
 	HeaderTooLarge     Reason = "headerTooLarge"
+	UnknownRoute       Reason = "unknownRoute"
+	RetryBudget        Reason = "retryBudget"
 )
 
 // Header is one header field.
@@ -139,8 +142,19 @@
 	URI      string
 	Service  string
 	Customer string
-	Header   []Header
-	Body     *Body
+	// Host is the host that the caller named.
+	Host string
+	// Object names what the request concerns; empty if it does not say.
+	Object string
+	// TimeLeft is how long the caller waits from Received on; zero if it does
+	// not say.
+	TimeLeft time.Duration
+	// Received is when the head of the request was whole.
+	Received time.Time
+	// HasLength is set when the caller gave the length of the body.
+	HasLength bool
+	Header    []Header
+	Body      *Body
 	// FromZone is the zone of the first entry instance.
 	FromZone string
 	// Tried names the workers of the own zone that were tried already.
--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,260 @@
+// Package worker holds what an instance believes of the workers of all
+// services: which there are, which are leaving, gone, cold or suspected.
+//
+// News comes with the store's revision and is applied in that order, whatever
+// the order in which it arrives. A worker that said it is leaving, or whose
+// entry is gone, gets nothing new.
+//
+// # Usage
+//
+//	r := worker.NewRegistry()
+//	r.Put(now, entry, revision)
+//	r.Delete(now, "i-7", revision)
+//	for _, w := range r.Of("calendrier") {
+//		if w.Usable(now) { ... }
+//	}
+package worker
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wigeonlock/wigeonlock/store"
+)
+
+// Lapse is how long an entry that was lost with an outage of the store may
+// still return; the platform promises about two seconds.
+const Lapse = 2 * time.Second
+
+// Entry is what a worker says of itself.
+type Entry struct {
+	// ID names one start of a worker; a worker may start again under its ID.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	Leaving bool
+	// ColdLeft is how long the worker stays cold, from when it said so.
+	ColdLeft time.Duration
+	// Born is the Unix millisecond of its start by its own clock.
+	Born int64
+	// Beat counts what the worker wrote since its start.
+	Beat int64
+}
+
+// Worker is a worker as this instance sees it.
+type Worker struct {
+	Entry
+	// Revision is the one of the last news.
+	Revision store.Revision
+	// FirstSeen is when this start of the worker was first seen.
+	FirstSeen time.Time
+	// LastNews is when news of it last came.
+	LastNews time.Time
+	// ColdUntil is when the worker is warm.
+	ColdUntil time.Time
+	// LapsesAt is when an entry that is missing counts as gone; zero if the
+	// entry stands.
+	LapsesAt time.Time
+	// Gone is set when the entry is gone for good.
+	Gone bool
+}
+
+// Usable reports whether the worker may get new work.
+func (w *Worker) Usable(now time.Time) bool {
+	return !w.Gone && !w.Leaving && (w.LapsesAt.IsZero() || now.Before(w.LapsesAt))
+}
+
+// Cold reports whether the worker is cold.
+func (w *Worker) Cold(now time.Time) bool {
+	return now.Before(w.ColdUntil)
+}
+
+// Registry holds all workers. It is not safe for concurrent use.
+type Registry struct {
+	byID     map[string]*Worker
+	services map[string][]*Worker
+	// removed holds what was removed, so that older news does not bring it back.
+	removed map[string]removal
+	// Changed is called when the belief about a worker changes, if set.
+	Changed func(w *Worker, what string)
+}
+
+// removal is the last that was known of a worker whose entry is gone.
+type removal struct {
+	revision store.Revision
+	born     int64
+	beat     int64
+	leaving  bool
+}
+
+// outdated reports whether an entry was written before the removal, or by a
+// start of the worker that had said it is leaving.
+func (r removal) outdated(e Entry, revision store.Revision) bool {
+	if revision <= r.revision {
+		return true
+	}
+	return r.born != 0 && (e.Born < r.born || e.Born == r.born && (r.leaving || e.Beat <= r.beat))
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{
+		byID: make(map[string]*Worker), services: make(map[string][]*Worker), removed: make(map[string]removal),
+	}
+}
+
+// Of returns the workers of a service, ordered by ID.
+func (r *Registry) Of(service string) []*Worker {
+	return r.services[service]
+}
+
+// Count returns the number of workers known.
+func (r *Registry) Count() int {
+	return len(r.byID)
+}
+
+// Get returns a worker, or nil.
+func (r *Registry) Get(id string) *Worker {
+	return r.byID[id]
+}
+
+// Put applies an entry as it was written at a revision.
+func (r *Registry) Put(now time.Time, e Entry, revision store.Revision) {
+	if r.removed[e.ID].outdated(e, revision) {
+		return
+	}
+	w := r.byID[e.ID]
+	if w != nil && revision <= w.Revision {
+		if revision == w.Revision {
+			w.LapsesAt = time.Time{}
+		}
+		return
+	}
+	if w != nil && w.Born != 0 && (e.Born < w.Born || e.Born == w.Born && e.Beat < w.Beat) {
+		return
+	}
+	if w == nil || w.Born != e.Born || w.Address != e.Address || w.Service != e.Service {
+		r.start(now, w, e, revision)
+		return
+	}
+	r.update(now, w, e, revision)
+}
+
+// start replaces what is known by a new start of a worker.
+func (r *Registry) start(now time.Time, old *Worker, e Entry, revision store.Revision) {
+	if old != nil {
+		r.drop(old)
+	}
+	w := &Worker{Entry: e, Revision: revision, FirstSeen: now, LastNews: now, ColdUntil: now.Add(e.ColdLeft)}
+	r.byID[e.ID] = w
+	list := append(r.services[e.Service], w)
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	r.services[e.Service] = list
+	r.tell(w, "started")
+}
+
+func (r *Registry) update(now time.Time, w *Worker, e Entry, revision store.Revision) {
+	wasLeaving := w.Leaving
+	w.Entry, w.Revision, w.LastNews, w.LapsesAt = e, revision, now, time.Time{}
+	w.ColdUntil = now.Add(e.ColdLeft)
+	switch {
+	case e.Leaving && !wasLeaving:
+		r.tell(w, "leaving")
+	case !e.Leaving && wasLeaving:
+		r.tell(w, "back")
+	}
+}
+
+// Delete applies the removal of an entry at a revision.
+func (r *Registry) Delete(id string, revision store.Revision) {
+	if revision <= r.removed[id].revision {
+		return
+	}
+	w := r.byID[id]
+	if w == nil {
+		last := r.removed[id]
+		last.revision = revision
+		r.removed[id] = last
+		return
+	}
+	if revision <= w.Revision {
+		return
+	}
+	r.removed[id] = removal{revision: revision, born: w.Born, beat: w.Beat, leaving: w.Leaving}
+	r.drop(w)
+	r.tell(w, "gone")
+}
+
+// Missing notes that a full reading at a revision showed no entry of a worker.
+// If the store was away before, the entry may return within Lapse.
+func (r *Registry) Missing(now time.Time, id string, revision store.Revision, outage bool) {
+	w := r.byID[id]
+	if w == nil || revision < w.Revision {
+		return
+	}
+	if !outage || w.Leaving {
+		r.Delete(id, revision)
+		return
+	}
+	if w.LapsesAt.IsZero() {
+		w.LapsesAt = now.Add(Lapse)
+		r.tell(w, "missing")
+	}
+}
+
+// Chill treats the workers of a zone as cold for a time, or until they say
+// otherwise.
+func (r *Registry) Chill(now time.Time, zone string, coldTime func(service string) time.Duration) {
+	for _, w := range r.byID {
+		if w.Zone == zone {
+			w.ColdUntil = later(w.ColdUntil, now.Add(coldTime(w.Service)))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Sweep forgets workers whose entries did not return.
+func (r *Registry) Sweep(now time.Time) {
+	for _, w := range r.byID {
+		if !w.LapsesAt.IsZero() && !now.Before(w.LapsesAt) {
+			r.Delete(w.ID, w.Revision+1)
+		}
+	}
+}
+
+// IDs returns the names of all workers.
+func (r *Registry) IDs() []string {
+	ids := make([]string, 0, len(r.byID))
+	for id := range r.byID {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (r *Registry) drop(w *Worker) {
+	w.Gone = true
+	delete(r.byID, w.ID)
+	list := r.services[w.Service]
+	kept := make([]*Worker, 0, len(list))
+	for _, other := range list {
+		if other != w {
+			kept = append(kept, other)
+		}
+	}
+	r.services[w.Service] = kept
+}
+
+func (r *Registry) tell(w *Worker, what string) {
+	if r.Changed != nil {
+		r.Changed(w, what)
+	}
+}
