Retry budget counted in its window; lapses end by the store's return

Change: index by parts of the window; a lapse ends 1.8 s after the store's return, whenever it shows, and only within the first second. Ruled out: First not counted (it was); news arriving late (read at 14.42 s). Conclusion: budgets get a test that replays shedding over the window's length.

--- a/cmd/wigeonlock/lists.go
+++ b/cmd/wigeonlock/lists.go
@@ -14,9 +14,9 @@
 
 	"github.com/wigeonlock/wigeonlock/findings"
 	"github.com/wigeonlock/wigeonlock/instance"
-	"github.com/wigeonlock/wigeonlock/plan"
 	"github.com/wigeonlock/wigeonlock/listing"
 	listinghttp "github.com/wigeonlock/wigeonlock/listing/http"
+	"github.com/wigeonlock/wigeonlock/plan"
 	"github.com/wigeonlock/wigeonlock/rollout"
 	"github.com/wigeonlock/wigeonlock/settings"
 	storehttp "github.com/wigeonlock/wigeonlock/store/http"
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -16,13 +16,8 @@
 	"time"
 )
 
-const (
-	// MaxAddresses is the most addresses that a caller uses.
-	MaxAddresses = 64
-	// Lapse is how long an instance whose key went with an outage of the store
-	// may still return.
-	Lapse = 3 * time.Second
-)
+// MaxAddresses is the most addresses that a caller uses.
+const MaxAddresses = 64
 
 // Member is an instance that takes callers.
 type Member struct {
@@ -58,14 +53,14 @@
 	d.most = max(d.most, len(d.members))
 }
 
-// Delete takes that the key of an instance is gone. After an outage it may
-// return within Lapse.
-func (d *Directory) Delete(now time.Time, name string, outage bool) {
+// Delete takes that the key of an instance is gone. It may return until lapse,
+// unless that is zero.
+func (d *Directory) Delete(name string, lapse time.Time) {
 	e := d.members[name]
 	switch {
 	case e == nil:
-	case outage:
-		e.lapsesAt = now.Add(Lapse)
+	case !lapse.IsZero():
+		e.lapsesAt = lapse
 	default:
 		delete(d.members, name)
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -2,9 +2,9 @@
 // each change on once, in order of revisions.
 //
 // It reads the prefix whole at first, and again when the history it needs is
-// gone. Keys that are missing from a full reading count as deleted. It tells
-// with each deletion whether the store was away shortly before: then an entry
-// may only have lapsed with the outage.
+// gone. Keys that are missing from a full reading count as deleted. A deletion
+// that shows when the store comes back may be a lapse of the outage: it is
+// handed on with the time until which the key may still return.
 //
 // # Usage
 //
@@ -34,16 +34,20 @@
 	_retryMax  = 700 * time.Millisecond
 	// _outage is how long the store must be away to count as out.
 	_outage = time.Second
-	// _afterOutage is how long after an outage deletions may be lapses.
-	_afterOutage = 3 * time.Second
+	// _lapseSeen is how long after its return the store may still show lapses.
+	_lapseSeen = time.Second
+	// _lapseTime is how long after the store's return a lapsed key may come
+	// back; the platform promises about two seconds.
+	_lapseTime = 1800 * time.Millisecond
 )
 
 // Sink takes what changed.
 type Sink interface {
 	// Put takes a key as it was written.
 	Put(now time.Time, item store.Item)
-	// Delete takes a deletion; outage tells that the store was away before.
-	Delete(now time.Time, key string, revision store.Revision, outage bool)
+	// Delete takes a deletion. If the store was away before, the key may return
+	// until lapse; else lapse is zero.
+	Delete(now time.Time, key string, revision store.Revision, lapse time.Time)
 	// Done is called after each successful reading.
 	Done(now time.Time, revision store.Revision)
 	// Lost is called when a call fails.
@@ -59,12 +63,13 @@
 	Interval time.Duration
 	Log      *zap.Logger
 
-	known       map[string]store.Revision
-	after       store.Revision
-	whole       bool
-	lastGood    time.Time
-	outageUntil time.Time
-	failures    int
+	known    map[string]store.Revision
+	after    store.Revision
+	whole    bool
+	lastGood time.Time
+	// backAt is when the store came back from its last outage.
+	backAt   time.Time
+	failures int
 }
 
 var (
@@ -126,7 +131,7 @@
 	}
 	_ranges.Inc()
 	now := time.Now()
-	outage := f.outage(now)
+	lapse := f.lapse(now)
 	present := make(map[string]struct{}, len(items))
 	for _, item := range items {
 		present[item.Key] = struct{}{}
@@ -134,7 +139,7 @@
 	}
 	for key := range f.known {
 		if _, ok := present[key]; !ok {
-			f.remove(now, key, revision, outage)
+			f.remove(now, key, revision, lapse)
 		}
 	}
 	f.after, f.whole = revision, true
@@ -147,11 +152,11 @@
 		return err
 	}
 	now := time.Now()
-	outage := f.outage(now)
+	lapse := f.lapse(now)
 	for _, c := range changes {
 		_changes.Inc()
 		if c.Deleted {
-			f.remove(now, c.Key, c.Revision, outage)
+			f.remove(now, c.Key, c.Revision, lapse)
 			continue
 		}
 		f.put(now, c.Item)
@@ -160,12 +165,15 @@
 	return nil
 }
 
-// outage reports whether the store was away until shortly before.
-func (f *Follower) outage(now time.Time) bool {
+// lapse returns until when a key that is deleted now may return, or zero.
+func (f *Follower) lapse(now time.Time) time.Time {
 	if now.Sub(f.lastGood) > _outage+f.Interval {
-		f.outageUntil = now.Add(_afterOutage)
+		f.backAt = now
 	}
-	return now.Before(f.outageUntil)
+	if f.backAt.IsZero() || now.Sub(f.backAt) > _lapseSeen {
+		return time.Time{}
+	}
+	return f.backAt.Add(_lapseTime)
 }
 
 func (f *Follower) put(now time.Time, item store.Item) {
@@ -173,7 +181,7 @@
 	f.Sink.Put(now, item)
 }
 
-func (f *Follower) remove(now time.Time, key string, revision store.Revision, outage bool) {
+func (f *Follower) remove(now time.Time, key string, revision store.Revision, lapse time.Time) {
 	delete(f.known, key)
-	f.Sink.Delete(now, key, revision, outage)
+	f.Sink.Delete(now, key, revision, lapse)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -19,8 +19,8 @@
 
 	"github.com/wigeonlock/wigeonlock/fleet"
 	"github.com/wigeonlock/wigeonlock/kernel"
-	"github.com/wigeonlock/wigeonlock/peer"
 	"github.com/wigeonlock/wigeonlock/listing"
+	"github.com/wigeonlock/wigeonlock/peer"
 	"github.com/wigeonlock/wigeonlock/rollout"
 	"github.com/wigeonlock/wigeonlock/settings"
 	"github.com/wigeonlock/wigeonlock/steer"
--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -45,7 +45,7 @@
 
 // part returns the current part of the window and forgets those that are over.
 func (a *Allowance) part(now time.Time) *struct{ first, again float64 } {
-	at := now.UnixNano() * _allowanceParts / int64(a.Window)
+	at := now.UnixNano() / int64(a.Window/_allowanceParts)
 	n := int64(len(a.parts))
 	for i := max(a.at+1, at-n+1); i <= at; i++ {
 		a.parts[i%n] = struct{ first, again float64 }{}
--- /dev/null
+++ b/retry/allowance_test.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestAllowanceWithinWindow replays workers that turn half of all requests
+// away for longer than the window: 200 requests a second for 20 s.
+func TestAllowanceWithinWindow(t *testing.T) {
+	const (
+		instances = 9
+		ratio     = 0.2
+		extra     = 58.0
+		window    = 10 * time.Second
+		step      = 5 * time.Millisecond
+	)
+	start := time.Unix(1_800_000_000, 0)
+	allowances := make([]*Allowance, instances)
+	for i := range allowances {
+		allowances[i] = &Allowance{Ratio: ratio, Extra: extra, Window: window}
+	}
+	var first, again []time.Time
+	for n := 0; n < int(20*time.Second/step); n++ {
+		now := start.Add(time.Duration(n) * step)
+		a := allowances[n%instances]
+		a.First(now)
+		first = append(first, now)
+		if n%2 == 0 && a.Take(now, instances) {
+			again = append(again, now)
+		}
+	}
+	for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		limit := ratio*float64(within(first, at, window)) + extra
+		assert.LessOrEqual(t, float64(within(again, at, window)), limit, "window from %s", at.Sub(start))
+	}
+	assert.Greater(t, len(again), 300, "the allowance is used")
+}
+
+// TestAllowanceOfFew gives an instance its part of the extra even without
+// requests of its own before.
+func TestAllowanceOfFew(t *testing.T) {
+	a := &Allowance{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}
+	now := time.Unix(1_800_000_000, 0)
+	a.First(now)
+	assert.True(t, a.Take(now, 9))
+	for range 100 {
+		a.Take(now, 9)
+	}
+	assert.False(t, a.Take(now, 9))
+	assert.True(t, a.Take(now.Add(12*time.Second), 9), "the window passed")
+}
+
+func within(times []time.Time, from time.Time, window time.Duration) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
--- a/site/presence.go
+++ b/site/presence.go
@@ -80,7 +80,7 @@
 		p.mu.Unlock()
 		if !gone && p.ready() == nil {
 			if err := p.keep(ctx); err != nil {
-				p.log.Warn("registration failed", zap.Error(err))
+				p.log.Warn("registration failed", zap.String("error", err.Error()))
 			}
 		}
 		select {
@@ -143,6 +143,6 @@
 	ctx, cancel := context.WithTimeout(ctx, _presenceCall)
 	defer cancel()
 	if err := p.registry.Revoke(ctx, p.lease); err != nil {
-		p.log.Warn("registration was not ended; it lapses", zap.Error(err))
+		p.log.Warn("registration was not ended; it lapses", zap.String("error", err.Error()))
 	}
 }
--- a/site/reload.go
+++ b/site/reload.go
@@ -52,7 +52,7 @@
 func (i *Site) reload(file string) {
 	s, err := Load(file)
 	if err != nil {
-		i.Log.Error("settings were not reloaded", zap.Error(err))
+		i.Log.Error("settings were not reloaded", zap.String("error", err.Error()))
 		return
 	}
 	i.forward.Update(func(k *forward.Knowledge) { k.Bounds = s.bounds() })
--- a/site/site.go
+++ b/site/site.go
@@ -259,8 +259,8 @@
 }
 
 // WorkerGone tells that a worker's entry is gone.
-func (i *Site) WorkerGone(now time.Time, id string, revision store.Revision, outage bool) {
-	i.forward.Update(func(k *forward.Knowledge) { k.Workers.Missing(now, id, revision, outage) })
+func (i *Site) WorkerGone(_ time.Time, id string, revision store.Revision, lapse time.Time) {
+	i.forward.Update(func(k *forward.Knowledge) { k.Workers.Missing(id, revision, lapse) })
 }
 
 func (i *Site) workerChanged(w *worker.Worker, what string) {
@@ -272,14 +272,14 @@
 }
 
 // Own takes a key of the product's own: the registration of an instance.
-func (i *Site) Own(now time.Time, key string, value []byte, outage bool) {
+func (i *Site) Own(_ time.Time, key string, value []byte, lapse time.Time) {
 	name, ok := instanceOf(key)
 	if !ok {
 		return
 	}
 	i.mu.Lock()
 	if value == nil {
-		i.directory.Delete(now, name, outage)
+		i.directory.Delete(name, lapse)
 	} else if m, err := decodeMember(value); err == nil && m.Name == name {
 		i.directory.Put(m)
 	}
@@ -293,7 +293,7 @@
 // Bad takes what cannot be read.
 func (i *Site) Bad(key string, err error) {
 	_bad.Inc()
-	i.Log.Warn("entry of the store cannot be read", zap.String("key", key), zap.Error(err))
+	i.Log.Warn("entry of the store cannot be read", zap.String("key", key), zap.String("error", err.Error()))
 }
 
 // Read tells that the store was read.
@@ -315,7 +315,7 @@
 	i.storeLost = true
 	i.mu.Unlock()
 	if !was {
-		i.Log.Warn("store cannot be read", zap.Error(err))
+		i.Log.Warn("store cannot be read", zap.String("error", err.Error()))
 	}
 }
 
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -9,7 +9,7 @@
 //
 //	r := worker.NewRegistry()
 //	r.Put(now, entry, revision)
-//	r.Delete(now, "i-7", revision)
+//	r.Delete("i-7", revision)
 //	for _, w := range r.Of("calendrier") {
 //		if w.Usable(now) { ... }
 //	}
@@ -22,10 +22,6 @@
 	"github.com/wigeonlock/wigeonlock/store"
 )
 
-// Lapse is how long an entry that was lost with an outage of the store may
-// still return; the platform promises about two seconds.
-const Lapse = 2 * time.Second
-
 // Entry is what a worker says of itself.
 type Entry struct {
 	// ID names one start of a worker; a worker may start again under its ID.
@@ -187,19 +183,19 @@
 	r.tell(w, "gone")
 }
 
-// Missing notes that a full reading at a revision showed no entry of a worker.
-// If the store was away before, the entry may return within Lapse.
-func (r *Registry) Missing(now time.Time, id string, revision store.Revision, outage bool) {
+// Missing applies that an entry went with an outage of the store. The worker
+// counts as gone unless the entry returns until lapse.
+func (r *Registry) Missing(id string, revision store.Revision, lapse time.Time) {
 	w := r.byID[id]
 	if w == nil || revision < w.Revision {
 		return
 	}
-	if !outage || w.Leaving {
+	if lapse.IsZero() || w.Leaving {
 		r.Delete(id, revision)
 		return
 	}
 	if w.LapsesAt.IsZero() {
-		w.LapsesAt = now.Add(Lapse)
+		w.LapsesAt = lapse
 		r.tell(w, "missing")
 	}
 }
