Placing: objects stay in their region as far as its workers have room, two places each

Static weights sent a quarter of the traffic to other regions where the own one had room. Change: at most two places an object, the second only where the object is thought warm or the first is much fuller; a request that neither has room for is rejected. The share of objects that stay home follows demand in steps of 4 % a second. Conclusion: a cold object costs more than a queue; keep objects where they are.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,6 +94,17 @@
 	return max(d.most, len(d.members), 1)
 }
 
+// Neighbours returns the number of instances of the own region.
+func (d *Directory) Neighbours() int {
+	n := 1
+	for name, e := range d.members {
+		if name != d.Self.Name && e.Region == d.Self.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // Registered reports whether the key of this instance stands.
 func (d *Directory) Registered() bool {
 	e := d.members[d.Self.Name]
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -73,9 +73,11 @@
 	Workers *worker.Registry
 	// Closed holds the zones that get nothing new.
 	Closed map[string]bool
-	// Instances are the names of the instances known, Most the most that were.
-	Instances []string
-	Most      int
+	// Instances are the names of the instances known, Most the most that were,
+	// and Neighbours those of the own region.
+	Instances  []string
+	Most       int
+	Neighbours int
 	Bounds    Bounds
 }
 
@@ -281,9 +283,11 @@
 		object = j.request.ID
 	}
 	c := s.placer.Choose(now, placement.Request{
+		Service:  j.service,
 		Object:   object,
 		MayServe: j.route.MayServe,
 		Closed:   func(zone string) bool { return s.know.Closed[zone] },
+		Sharers:  max(s.know.Neighbours, 1),
 		Tried:    j.tried,
 		MayWarm:  func(w *worker.Worker) bool { return s.mayWarm(now, w) },
 	}, s.know.Workers.Of(j.service))
@@ -293,7 +297,7 @@
 	if len(j.tried) == 0 {
 		s.budget(j.service).First(now)
 	}
-	s.placer.Begin(c.Worker.ID)
+	s.placer.Begin(now, object, c.Worker)
 	return c.Worker, ""
 }
 
@@ -325,7 +329,7 @@
 		s.Exchange.Drop(address)
 	}
 	s.mu.Lock()
-	s.placer.End(time.Now(), id, report)
+	s.placer.End(time.Now(), w, report)
 	s.mu.Unlock()
 	if result.Fault != exchange.None && result.Fault != exchange.Left {
 		s.Log.Info("attempt failed", zap.String("request", j.request.ID), zap.String("worker", id),
@@ -335,7 +339,7 @@
 }
 
 func reportOf(r exchange.Result) placement.Report {
-	report := placement.Report{Outcome: placement.Answered}
+	report := placement.Report{Outcome: placement.Answered, Took: r.Took}
 	if r.Load != nil {
 		report.Told, report.Running, report.Waiting = true, r.Load.Running, r.Load.Waiting
 	}
--- /dev/null
+++ b/placement/home.go
@@ -0,0 +1,80 @@
+package placement
+
+import "time"
+
+const (
+	// _homeLoad is the load up to which the workers of the own region are filled
+	// by the objects that stay there, in requests for each slot.
+	_homeLoad = 0.6
+	// _homeStep bounds how fast the share of objects that stay changes, a
+	// second: of a region's requests, at most 0.15 may change the region from
+	// one window of two seconds to the next, and chance takes part of that.
+	_homeStep = 0.04
+	// _homeFirst is how far above an even split between regions the share
+	// begins, while the demand is not known.
+	_homeFirst = 1.2
+	// _rateWindow is the span over which arrivals are counted.
+	_rateWindow = 2 * time.Second
+	// _runWeight is the weight of one more run in the mean time of a run.
+	_runWeight = 0.02
+	// _fewestRuns is the number of runs before their mean counts.
+	_fewestRuns = 30
+)
+
+// homeShare is the share of a service's objects whose place is in the own
+// region. It answers waves of demand out of phase between regions whose workers
+// are spread unevenly.
+type homeShare struct {
+	share   float64
+	known   bool
+	changed time.Time
+
+	// count are the arrivals since since; rate is what they were a second in
+	// the window before.
+	count int
+	since time.Time
+	rate  float64
+
+	runs int
+	run  time.Duration
+}
+
+func (h *homeShare) arrived(now time.Time) {
+	if span := now.Sub(h.since); span >= _rateWindow {
+		h.rate = float64(h.count) / span.Seconds()
+		h.since, h.count = now, 0
+	}
+	h.count++
+}
+
+func (h *homeShare) ran(took time.Duration) {
+	h.runs++
+	if h.runs == 1 {
+		h.run = took
+		return
+	}
+	h.run += time.Duration(float64(took-h.run) * max(_runWeight, 1/float64(h.runs)))
+}
+
+// update returns the share for now. own and all are the slots of usable workers
+// in the own region and everywhere, sharers the instances that share the
+// demand of the region.
+func (h *homeShare) update(now time.Time, own, all, regions, sharers int) float64 {
+	if own == 0 || own == all {
+		return float64(min(own, 1))
+	}
+	if !h.known {
+		h.share = min(_homeFirst*float64(own*regions)/float64(all), 1)
+		h.known, h.changed, h.since = true, now, now
+		return h.share
+	}
+	step := _homeStep * min(now.Sub(h.changed).Seconds(), 1)
+	h.changed = now
+	if h.runs < _fewestRuns || h.rate == 0 {
+		return h.share
+	}
+	demand := h.rate * float64(sharers) * h.run.Seconds()
+	target := min(_homeLoad*float64(own)/demand, 1)
+	h.share += max(min(target-h.share, step), -step)
+	return h.share
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,10 +3,11 @@
 // Requests for the same object go to the same worker, since a worker that
 // handled an object recently is several times faster. Each worker gets a score
 // from the object and its ID, alike on all instances, and the best one is
-// taken; when workers come or go, only their own objects move. Workers of
-// other regions count for less, since the way there takes time. A request
-// leaves the best worker only when that one has no room, for the next in the
-// same order, so that an object is warm on few workers.
+// taken; when workers come or go, only their own objects move. As many objects
+// as the workers of the own region have room for stay there; the others have
+// their place in other regions. A request leaves the best worker only when that
+// one has no room, for the next in the same order, so that an object is warm on
+// few workers.
 //
 // # Usage
 //
@@ -15,8 +16,8 @@
 //	if choice.Worker == nil {
 //		// choice.Reason tells why
 //	}
-//	p.Begin(choice.Worker.ID)
-//	p.End(now, choice.Worker.ID, outcome)
+//	p.Begin(now, choice.Worker)
+//	p.End(now, choice.Worker, report)
 package placement
 
 import (
@@ -30,12 +31,17 @@
 )
 
 const (
-	// _otherRegion is the weight of a worker in another region beside one of
-	// the own region; measured on days of both deployments.
-	_otherRegion = 0.25
 	// _fullLoad is the load, in requests for each slot, above which a request
 	// goes to the next worker: a worker turns requests away at four.
-	_fullLoad = 3.0
+	_fullLoad = 2.2
+	// _places is the number of workers on which an object is kept warm.
+	_places = 2
+	// _nextPlace is how much less load another place of an object must have to
+	// be taken instead of the first, in requests for each slot.
+	_nextPlace = 0.3
+	// _coldRun is what a run takes longer where the object is cold, in runs of a
+	// warm one.
+	_coldRun = 1.5
 	// _loadAge is how long a worker's word on its load counts.
 	_loadAge = time.Second
 	// _shedTime is how long a worker that turned a request away counts as full.
@@ -58,6 +64,7 @@
 
 // Request is what placing needs to know of a request.
 type Request struct {
+	Service string
 	// Object names what the request concerns; requests without one are spread.
 	Object string
 	// MayServe bounds the regions that may serve it.
@@ -66,6 +73,8 @@
 	Closed func(zone string) bool
 	// Tried names the workers that it was sent to before.
 	Tried []string
+	// Sharers is the number of instances that share the region's requests.
+	Sharers int
 	// MayWarm asks for leave to send to a cold worker.
 	MayWarm func(w *worker.Worker) bool
 }
@@ -104,6 +113,8 @@
 	Told    bool
 	Running int
 	Waiting int
+	// Took is the time of the exchange.
+	Took time.Duration
 }
 
 // Placer chooses workers. It is not safe for concurrent use.
@@ -115,7 +126,9 @@
 	RegionOf func(zone string) string
 
 	known   map[string]*state
+	homes   map[string]*homeShare
 	ranking []ranked
+	warm    warmth
 }
 
 // state is what this instance found out about a worker by itself.
@@ -140,6 +153,7 @@
 type ranked struct {
 	w     *worker.Worker
 	score float64
+	home  bool
 }
 
 // Choose returns the worker for a request.
@@ -148,56 +162,101 @@
 	if len(p.ranking) == 0 {
 		return Choice{Reason: NoWorkers}
 	}
-	best := Choice{Reason: NoRoom}
-	tried := 0
+	object := xxhash.Sum64String(r.Object)
+	best := Choice{Reason: AllTried}
+	cost := math.Inf(1)
+	places := 0
 	for i, candidate := range p.ranking {
 		w := candidate.w
-		if contains(r.Tried, w.ID) {
-			tried++
-			continue
-		}
 		s := p.state(w.ID)
-		if p.avoided(now, w, s) {
+		if contains(r.Tried, w.ID) || p.avoided(now, w, s) {
 			continue
 		}
+		if places++; places > _places {
+			break
+		}
 		load := s.load(now, w)
 		if load >= _fullLoad || now.Before(s.shedUntil) {
+			if best.Worker == nil {
+				best.Reason = NoRoom
+			}
 			continue
 		}
 		if (w.Cold(now) || s.unreachableAt.After(w.LastNews)) && !r.MayWarm(w) {
+			places--
 			continue
 		}
-		return Choice{Worker: w, Load: load, Rank: i}
-	}
-	if tried == len(p.ranking) {
-		best.Reason = AllTried
+		c := max(load, 1)
+		if places > 1 {
+			c += _nextPlace
+			if !p.warm.holds(now, object, w.ID) {
+				c += _coldRun
+			}
+		}
+		if c < cost {
+			best, cost = Choice{Worker: w, Load: load, Rank: i}, c
+		}
 	}
 	return best
 }
 
-// rank orders the workers that may serve a request, best first.
+// rank orders the workers that may serve a request, best first. The objects
+// that stay at home have the workers of the own region first, the others last.
 func (p *Placer) rank(now time.Time, r Request, workers []*worker.Worker) {
 	p.ranking = p.ranking[:0]
 	object := xxhash.Sum64String(r.Object)
+	own, all := 0, 0
 	for _, w := range workers {
 		region := p.RegionOf(w.Zone)
 		if !w.Usable(now) || r.Closed(w.Zone) || !r.MayServe(region) {
 			continue
 		}
-		weight := float64(max(w.Slots, 1))
-		if region != p.Region {
-			weight *= _otherRegion
+		home := region == p.Region
+		all += w.Slots
+		if home {
+			own += w.Slots
 		}
-		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, weight)})
+		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), home})
 	}
-	sort.Slice(p.ranking, func(i, j int) bool { return p.ranking[i].score > p.ranking[j].score })
+	stays := unit(mix(object)) < p.share(r.Service).update(now, own, all, len(p.regions(workers)), r.Sharers)
+	sort.Slice(p.ranking, func(i, j int) bool {
+		a, b := p.ranking[i], p.ranking[j]
+		if a.home != b.home {
+			return a.home == stays
+		}
+		return a.score > b.score
+	})
+}
+
+// regions returns the regions of workers.
+func (p *Placer) regions(workers []*worker.Worker) map[string]struct{} {
+	regions := make(map[string]struct{}, 4)
+	for _, w := range workers {
+		regions[p.RegionOf(w.Zone)] = struct{}{}
+	}
+	return regions
+}
+
+func (p *Placer) share(service string) *homeShare {
+	h := p.homes[service]
+	if h == nil {
+		h = &homeShare{}
+		if p.homes == nil {
+			p.homes = make(map[string]*homeShare)
+		}
+		p.homes[service] = h
+	}
+	return h
 }
 
 // score is the weighted rendezvous score of a worker for an object.
 func score(object uint64, id string, weight float64) float64 {
-	h := mix(object ^ xxhash.Sum64String(id))
-	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(unit)
+	return -weight / math.Log(unit(mix(object^xxhash.Sum64String(id))))
+}
+
+// unit maps a hash to (0, 1).
+func unit(h uint64) float64 {
+	return (float64(h>>11) + 0.5) / (1 << 53)
 }
 
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
@@ -239,14 +298,19 @@
 }
 
 // Begin records a request on its way to a worker.
-func (p *Placer) Begin(id string) {
-	p.state(id).inFlight++
+func (p *Placer) Begin(now time.Time, object string, w *worker.Worker) {
+	p.warm.note(now, xxhash.Sum64String(object), w.ID)
+	p.state(w.ID).inFlight++
+	p.share(w.Service).arrived(now)
 }
 
 // End records how an exchange with a worker ended.
-func (p *Placer) End(now time.Time, id string, r Report) {
-	s := p.state(id)
+func (p *Placer) End(now time.Time, w *worker.Worker, r Report) {
+	s := p.state(w.ID)
 	s.inFlight--
+	if r.Outcome == Answered && p.RegionOf(w.Zone) == p.Region {
+		p.share(w.Service).ran(r.Took)
+	}
 	if r.Told {
 		s.told, s.toldInFlight, s.toldAt = r.Running+r.Waiting, s.inFlight, now
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -283,9 +283,11 @@
 	} else if m, err := decodeMember(value); err == nil && m.Name == name {
 		i.directory.Put(m)
 	}
-	names, most := i.directory.Names(), i.directory.Most()
+	names, most, neighbours := i.directory.Names(), i.directory.Most(), i.directory.Neighbours()
 	i.mu.Unlock()
-	i.forward.Update(func(k *forward.Knowledge) { k.Instances, k.Most = names, max(k.Most, most) })
+	i.forward.Update(func(k *forward.Knowledge) {
+		k.Instances, k.Most, k.Neighbours = names, max(k.Most, most), neighbours
+	})
 	i.Log.Info("instance known", zap.String("name", name), zap.Bool("gone", value == nil), zap.Int("instances", len(names)))
 	i.presence.wake()
 }
