Home share falls at once as far as the demand needs when workers of the region go

Cause: with a step of 4 % a second, a region that lost slots to an evacuation kept its objects on what was left for ten seconds (commission-confirm late).

--- a/placement/home.go
+++ b/placement/home.go
@@ -28,6 +28,8 @@
 	share   float64
 	known   bool
 	changed time.Time
+	// own are the slots of the own region at the last change.
+	own int
 
 	// count are the arrivals since since; rate is what they were a second in
 	// the window before.
@@ -65,16 +67,18 @@
 	}
 	if !h.known {
 		h.share = min(_homeFirst*float64(own*regions)/float64(all), 1)
-		h.known, h.changed, h.since = true, now, now
+		h.known, h.changed, h.since, h.own = true, now, now, own
 		return h.share
 	}
 	step := _homeStep * min(now.Sub(h.changed).Seconds(), 1)
-	h.changed = now
+	// The objects of workers that left have to move anyway.
+	left := h.share * (1 - min(float64(own)/float64(h.own), 1))
+	h.changed, h.own = now, own
 	if h.runs < _fewestRuns || h.rate == 0 {
 		return h.share
 	}
 	demand := h.rate * float64(sharers) * h.run.Seconds()
 	target := min(_homeLoad*float64(own)/demand, 1)
-	h.share += max(min(target-h.share, step), -step)
+	h.share += max(min(target-h.share, step), -step-left)
 	return h.share
 }
