One instance of a region reads the store and its neighbours follow it

Change: package follow keeps a copy by revision, whoever brings the news; the first in an order that a region shares reads, the others follow it over gRPC (package news) and read for themselves when they heard nothing for 1.3 s. Ruled out: a reader a zone (6 to 9 readers instead of 3, no quicker), stale reads (seconds old, a leaving worker would get work). Conclusion: the store's price no longer grows with the instances.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,6 +25,8 @@
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 	Region  string `json:"region"`
+	// Peers is where neighbours connect.
+	Peers string `json:"peers"`
 	// Started is the Unix millisecond of its start.
 	Started int64 `json:"started"`
 }
@@ -94,15 +96,15 @@
 	return max(d.most, len(d.members), 1)
 }
 
-// Neighbours returns the number of instances of the own region.
-func (d *Directory) Neighbours() int {
-	n := 1
+// Neighbours returns the instances of the own region, this one included.
+func (d *Directory) Neighbours() []Member {
+	list := []Member{d.Self}
 	for name, e := range d.members {
 		if name != d.Self.Name && e.Region == d.Self.Region {
-			n++
+			list = append(list, e.Member)
 		}
 	}
-	return n
+	return list
 }
 
 // Registered reports whether the key of this instance stands.
--- /dev/null
+++ b/follow/copy.go
@@ -0,0 +1,112 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/wigeonlock/wigeonlock/store"
+)
+
+// Change is a key that was written or deleted.
+type Change struct {
+	store.Change
+	// Lapse is until when a deleted key may return, or zero.
+	Lapse time.Time
+}
+
+// Batch is what one reading brought.
+type Batch struct {
+	// Whole is set if Changes are all keys there are.
+	Whole bool
+	// Revision is the one up to which the store was read, at At.
+	Revision store.Revision
+	At       time.Time
+	Changes  []Change
+}
+
+// Copy holds the keys under the prefix as last read, whoever read them. News
+// counts by the revision of its key, never by its arrival. It is not safe for
+// concurrent use.
+type Copy struct {
+	items map[string]store.Item
+	// removed holds the revisions at which keys were deleted.
+	removed  map[string]store.Revision
+	revision store.Revision
+	readAt   time.Time
+}
+
+// Revision returns the revision up to which the store was read.
+func (c *Copy) Revision() store.Revision {
+	return c.revision
+}
+
+// ReadAt returns when the store was last read.
+func (c *Copy) ReadAt() time.Time {
+	return c.readAt
+}
+
+// All returns all keys as a batch.
+func (c *Copy) All() Batch {
+	b := Batch{Whole: true, Revision: c.revision, At: c.readAt, Changes: make([]Change, 0, len(c.items))}
+	for _, item := range c.items {
+		b.Changes = append(b.Changes, Change{Change: store.Change{Item: item}})
+	}
+	return b
+}
+
+// Apply takes a batch and returns the changes in it that are news. lapse is
+// until when a key that is missing from a whole batch may return, or zero.
+func (c *Copy) Apply(b Batch, lapse time.Time) []Change {
+	if c.items == nil {
+		c.items = make(map[string]store.Item)
+		c.removed = make(map[string]store.Revision)
+	}
+	var news []Change
+	for _, change := range b.Changes {
+		if c.apply(change) {
+			news = append(news, change)
+		}
+	}
+	if b.Whole {
+		news = append(news, c.missing(b, lapse)...)
+	}
+	c.revision = max(c.revision, b.Revision)
+	if b.At.After(c.readAt) {
+		c.readAt = b.At
+	}
+	return news
+}
+
+func (c *Copy) apply(change Change) bool {
+	known, ok := c.items[change.Key]
+	if ok && change.Revision <= known.Revision || change.Revision <= c.removed[change.Key] {
+		return false
+	}
+	if change.Deleted {
+		delete(c.items, change.Key)
+		c.removed[change.Key] = change.Revision
+		return ok
+	}
+	c.items[change.Key] = change.Item
+	delete(c.removed, change.Key)
+	return true
+}
+
+// missing deletes the keys that a whole batch does not have.
+func (c *Copy) missing(b Batch, lapse time.Time) []Change {
+	present := make(map[string]struct{}, len(b.Changes))
+	for _, change := range b.Changes {
+		present[change.Key] = struct{}{}
+	}
+	var news []Change
+	for key, item := range c.items {
+		if _, ok := present[key]; ok || item.Revision > b.Revision {
+			continue
+		}
+		gone := Change{Lapse: lapse}
+		gone.Key, gone.Revision, gone.Deleted = key, b.Revision, true
+		delete(c.items, key)
+		c.removed[key] = b.Revision
+		news = append(news, gone)
+	}
+	return news
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,10 +1,16 @@
 // Package follow keeps up with the keys under a prefix of the store and hands
-// each change on once, in order of revisions.
+// each change on once.
 //
-// It reads the prefix whole at first, and again when the history it needs is
-// gone. Keys that are missing from a full reading count as deleted. A deletion
-// that shows when the store comes back may be a lapse of the outage: it is
-// handed on with the time until which the key may still return.
+// Calls to the store are paid for, so in each region one instance reads the
+// store and the others follow it: it passes on what it read. An instance that
+// has heard nothing for a moment reads the store itself, and follows the next
+// one in an order that all share. News counts by its revision, whoever brings
+// it.
+//
+// The store is read whole at first, and again when the history that is needed
+// is gone. Keys that are missing from a whole reading count as deleted. A
+// deletion that shows when the store comes back may be a lapse of the outage:
+// it is handed on with the time until which the key may still return.
 //
 // # Usage
 //
@@ -15,6 +21,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,9 +36,10 @@
 	// _callTime bounds a call: the store answers within milliseconds, or within
 	// a quarter of a second when it is slow.
 	_callTime = time.Second
-	// _retryBase and _retryMax bound the pause after a failed call.
-	_retryBase = 100 * time.Millisecond
-	_retryMax  = 700 * time.Millisecond
+	// _retryBase and _retryMax bound the pause after a failed call. Failed calls
+	// are paid for, too.
+	_retryBase = 150 * time.Millisecond
+	_retryMax  = 1500 * time.Millisecond
 	// _outage is how long the store must be away to count as out.
 	_outage = time.Second
 	// _lapseSeen is how long after its return the store may still show lapses.
@@ -39,21 +47,36 @@
 	// _lapseTime is how long after the store's return a lapsed key may come
 	// back; the platform promises about two seconds.
 	_lapseTime = 1800 * time.Millisecond
+	// _silence is how old the last reading may be before an instance reads the
+	// store itself. News has to be in force within two and a half seconds.
+	_silence = 1300 * time.Millisecond
+	// _tick is how often the age of the last reading is looked at.
+	_tick = 100 * time.Millisecond
+	// _queue is the number of batches that wait for a neighbour.
+	_queue = 16
 )
 
 // Sink takes what changed.
 type Sink interface {
-	// Put takes a key as it was written.
-	Put(now time.Time, item store.Item)
+	// Put takes a key as it was written. It reports whether that is news to
+	// others, or only a sign of life.
+	Put(now time.Time, item store.Item) bool
 	// Delete takes a deletion. If the store was away before, the key may return
 	// until lapse; else lapse is zero.
 	Delete(now time.Time, key string, revision store.Revision, lapse time.Time)
-	// Done is called after each successful reading.
+	// Done is called after each reading.
 	Done(now time.Time, revision store.Revision)
 	// Lost is called when a call fails.
 	Lost(now time.Time, err error)
 }
 
+// Peers connects to neighbours.
+type Peers interface {
+	// Follow hands on what a neighbour reads until ctx ends or the connection
+	// does.
+	Follow(ctx context.Context, n Neighbour, deliver func(Batch)) error
+}
+
 // Follower follows a prefix. The exported fields are set before Run.
 type Follower struct {
 	Feed   store.Feed
@@ -61,127 +84,247 @@
 	Prefix string
 	// Interval is the pause between two readings of the changes.
 	Interval time.Duration
-	Log      *zap.Logger
-
-	known    map[string]store.Revision
-	after    store.Revision
-	whole    bool
-	lastGood time.Time
-	// backAt is when the store came back from its last outage.
-	backAt   time.Time
+	// Instance is the own name among Neighbours, which returns the instances of
+	// the region. Without Peers the instance always reads itself.
+	Instance   string
+	Neighbours func() []Neighbour
+	Peers      Peers
+	Log        *zap.Logger
+
+	mu       sync.Mutex
+	copy     Copy
+	order    Order
+	audience map[chan Batch]struct{}
+
+	// The rest belongs to Run. stale is set when the history since the last
+	// reading is gone.
+	stale    bool
+	lastTry  time.Time
+	pause    time.Duration
 	failures int
+	// lostSince is when the first of the last failures in a row began, and
+	// backAt when the store came back from its last outage.
+	lostSince time.Time
+	backAt    time.Time
+	leader    Neighbour
+	stop      context.CancelFunc
 }
 
 var (
-	_ranges  = metrics.NewCounter("wigeonlock_follow_full_readings_total")
-	_changes = metrics.NewCounter("wigeonlock_follow_changes_total")
-	_lost    = metrics.NewCounter("wigeonlock_follow_failures_total")
+	_wholes   = metrics.NewCounter("wigeonlock_follow_whole_readings_total")
+	_readings = metrics.NewCounter("wigeonlock_follow_readings_total")
+	_changes  = metrics.NewCounter("wigeonlock_follow_changes_total")
+	_lost     = metrics.NewCounter("wigeonlock_follow_failures_total")
+	_turns    = metrics.NewCounter("wigeonlock_follow_leader_changes_total")
 )
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.known = make(map[string]store.Revision)
-	f.lastGood = time.Now()
+	f.mu.Lock()
+	f.order.Self = f.Instance
+	f.mu.Unlock()
 	backoff := retry.Backoff{Base: _retryBase, Max: _retryMax}
-	for ctx.Err() == nil {
-		pause := f.Interval
-		if err := f.step(ctx); err != nil {
-			pause = backoff.Delay(f.failures, rand.Float64())
-			f.failures++
+	tick := time.NewTicker(_tick)
+	defer tick.Stop()
+	for {
+		now := time.Now()
+		reads := f.choose(ctx, now)
+		if f.due(now, reads) {
+			f.lastTry, f.pause = now, f.Interval
+			if err := f.step(ctx); err != nil {
+				f.pause = backoff.Delay(f.failures-1, rand.Float64())
+			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+			if f.stop != nil {
+				f.stop()
+			}
+			return nil
+		case <-tick.C:
 		}
 	}
-	return nil
 }
 
-// step makes one reading.
+// choose follows the neighbour whose turn it is, and reports whether this
+// instance is to read the store.
+func (f *Follower) choose(ctx context.Context, now time.Time) bool {
+	if f.Peers == nil {
+		return true
+	}
+	f.mu.Lock()
+	if f.leader.Name != "" && f.silent(now) {
+		f.order.Distrust(now, f.leader.Name)
+	}
+	leader, found := f.order.Reader(now, f.Neighbours())
+	f.mu.Unlock()
+	if leader == f.leader {
+		return !found
+	}
+	if f.stop != nil {
+		f.stop()
+		f.stop = nil
+	}
+	f.leader = leader
+	_turns.Inc()
+	if !found {
+		f.Log.Info("reads the store for its neighbours")
+		return true
+	}
+	f.Log.Info("follows a neighbour", zap.String("neighbour", leader.Name))
+	followCtx, cancel := context.WithCancel(ctx)
+	f.stop = cancel
+	go f.follow(followCtx, leader)
+	return false
+}
+
+// follow takes what a neighbour reads until the connection ends.
+func (f *Follower) follow(ctx context.Context, n Neighbour) {
+	err := f.Peers.Follow(ctx, n, func(b Batch) { f.take(time.Now(), b, time.Time{}) })
+	if ctx.Err() != nil {
+		return
+	}
+	f.Log.Info("neighbour is lost", zap.String("neighbour", n.Name), zap.String("error", errorText(err)))
+	f.mu.Lock()
+	f.order.Distrust(time.Now(), n.Name)
+	f.mu.Unlock()
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "stream ended"
+	}
+	return err.Error()
+}
+
+// silent reports whether the last reading is too old. The caller holds mu.
+func (f *Follower) silent(now time.Time) bool {
+	return now.Sub(f.copy.ReadAt()) > _silence
+}
+
+// due reports whether the store is to be read now.
+func (f *Follower) due(now time.Time, reads bool) bool {
+	if now.Sub(f.lastTry) < f.pause {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return reads || f.silent(now)
+}
+
+// step reads the store.
 func (f *Follower) step(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, _callTime)
 	defer cancel()
-	var err error
-	if f.whole {
-		err = f.readChanges(callCtx)
-	} else {
-		err = f.readWhole(callCtx)
-	}
+	started := time.Now()
+	b, err := f.read(callCtx)
 	now := time.Now()
 	switch {
 	case errors.Is(err, store.ErrCompacted):
-		f.whole = false
-		f.Log.Info("history of the store is gone, reading anew", zap.Uint64("revision", uint64(f.after)))
+		f.stale = true
+		f.Log.Info("history of the store is gone, reading anew")
 		return f.step(ctx)
 	case err != nil:
 		_lost.Inc()
+		if f.failures == 0 {
+			f.lostSince = started
+		}
+		f.failures++
 		f.Sink.Lost(now, err)
 		return err
 	}
-	f.failures = 0
-	f.lastGood = now
-	f.Sink.Done(now, f.after)
-	return nil
-}
-
-func (f *Follower) readWhole(ctx context.Context) error {
-	items, revision, err := f.Feed.Range(ctx, f.Prefix)
-	if err != nil {
-		return err
+	_readings.Inc()
+	if f.failures > 0 && now.Sub(f.lostSince) > _outage {
+		f.backAt = now
 	}
-	_ranges.Inc()
-	now := time.Now()
+	f.failures = 0
+	b.At = started
 	lapse := f.lapse(now)
-	present := make(map[string]struct{}, len(items))
-	for _, item := range items {
-		present[item.Key] = struct{}{}
-		f.put(now, item)
-	}
-	for key := range f.known {
-		if _, ok := present[key]; !ok {
-			f.remove(now, key, revision, lapse)
-		}
+	for i := range b.Changes {
+		b.Changes[i].Lapse = lapse
 	}
-	f.after, f.whole = revision, true
+	f.take(now, b, lapse)
 	return nil
 }
 
-func (f *Follower) readChanges(ctx context.Context) error {
-	changes, revision, err := f.Feed.Changes(ctx, f.Prefix, f.after, 0)
+func (f *Follower) read(ctx context.Context) (Batch, error) {
+	f.mu.Lock()
+	after := f.copy.Revision()
+	f.mu.Unlock()
+	if after == 0 || f.stale {
+		items, revision, err := f.Feed.Range(ctx, f.Prefix)
+		if err != nil {
+			return Batch{}, err
+		}
+		_wholes.Inc()
+		f.stale = false
+		b := Batch{Whole: true, Revision: revision}
+		for _, item := range items {
+			b.Changes = append(b.Changes, Change{Change: store.Change{Item: item}})
+		}
+		return b, nil
+	}
+	changes, revision, err := f.Feed.Changes(ctx, f.Prefix, after, 0)
 	if err != nil {
-		return err
+		return Batch{}, err
 	}
-	now := time.Now()
-	lapse := f.lapse(now)
+	b := Batch{Revision: revision}
 	for _, c := range changes {
-		_changes.Inc()
-		if c.Deleted {
-			f.remove(now, c.Key, c.Revision, lapse)
-			continue
-		}
-		f.put(now, c.Item)
+		b.Changes = append(b.Changes, Change{Change: c})
 	}
-	f.after = max(f.after, revision)
-	return nil
+	return b, nil
 }
 
 // lapse returns until when a key that is deleted now may return, or zero.
 func (f *Follower) lapse(now time.Time) time.Time {
-	if now.Sub(f.lastGood) > _outage+f.Interval {
-		f.backAt = now
-	}
 	if f.backAt.IsZero() || now.Sub(f.backAt) > _lapseSeen {
 		return time.Time{}
 	}
 	return f.backAt.Add(_lapseTime)
 }
 
-func (f *Follower) put(now time.Time, item store.Item) {
-	f.known[item.Key] = item.Revision
-	f.Sink.Put(now, item)
+// take applies a batch and passes on what is news to others.
+func (f *Follower) take(now time.Time, b Batch, lapse time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := f.copy.Apply(b, lapse)
+	passed := Batch{Revision: b.Revision, At: b.At}
+	for _, c := range news {
+		_changes.Inc()
+		if c.Deleted {
+			f.Sink.Delete(now, c.Key, c.Revision, c.Lapse)
+			passed.Changes = append(passed.Changes, c)
+			continue
+		}
+		if f.Sink.Put(now, c.Item) {
+			passed.Changes = append(passed.Changes, c)
+		}
+	}
+	f.Sink.Done(now, b.Revision)
+	for listener := range f.audience {
+		select {
+		case listener <- passed:
+		default:
+			// A neighbour that does not keep up starts anew.
+			delete(f.audience, listener)
+			close(listener)
+		}
+	}
 }
 
-func (f *Follower) remove(now time.Time, key string, revision store.Revision, lapse time.Time) {
-	delete(f.known, key)
-	f.Sink.Delete(now, key, revision, lapse)
+// Listen returns all keys and a channel with what is read from then on. It
+// closes when the listener does not keep up; end ends it.
+func (f *Follower) Listen() (all Batch, batches <-chan Batch, end func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.audience == nil {
+		f.audience = make(map[chan Batch]struct{})
+	}
+	listener := make(chan Batch, _queue)
+	f.audience[listener] = struct{}{}
+	return f.copy.All(), listener, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.audience, listener)
+	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,7 +78,7 @@
 	Instances  []string
 	Most       int
 	Neighbours int
-	Bounds    Bounds
+	Bounds     Bounds
 }
 
 // Service forwards requests. The exported fields are set before the first use.
--- /dev/null
+++ b/news/news.go
@@ -0,0 +1,173 @@
+// Package news passes what an instance reads from the store on to its
+// neighbours over gRPC.
+//
+// A neighbour gets all keys at first, then each reading of the store with its
+// age, also one without changes, so that it knows that the reader still reads.
+//
+// # Usage
+//
+//	s := &news.Server{Follower: follower}
+//	go s.Serve(listener)
+//	peers := &news.Peers{Instance: "tunis-lac-1"}
+package news
+
+import (
+	"context"
+	"math"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/wigeonlock/wigeonlock/follow"
+	"github.com/wigeonlock/wigeonlock/news/wire"
+	"github.com/wigeonlock/wigeonlock/store"
+)
+
+const (
+	// _bufferBytes is the size of the buffers of a connection: batches are
+	// small, and an instance may have dozens of neighbours.
+	_bufferBytes = 4 << 10
+	// _maxBatch bounds a batch: all keys of some hundred workers and routes.
+	_maxBatch = 32 << 20
+	// _connectTime bounds the time to a connection.
+	_connectTime = time.Second
+	// _keepAlive finds a connection that went silent.
+	_keepAlive = 10 * time.Second
+)
+
+// Source hands out what is read.
+type Source interface {
+	Listen() (all follow.Batch, batches <-chan follow.Batch, end func())
+}
+
+// Server hands out news to neighbours.
+type Server struct {
+	wire.UnimplementedNewsServer
+	Source Source
+
+	mu     sync.Mutex
+	server *grpc.Server
+}
+
+// Serve serves until Close.
+func (s *Server) Serve(l net.Listener) error {
+	server := grpc.NewServer(
+		grpc.WriteBufferSize(_bufferBytes), grpc.ReadBufferSize(_bufferBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: _keepAlive, Timeout: _connectTime}),
+	)
+	wire.RegisterNewsServer(server, s)
+	s.mu.Lock()
+	s.server = server
+	s.mu.Unlock()
+	if err := server.Serve(l); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		return errors.Wrap(err, "serve news")
+	}
+	return nil
+}
+
+// Close ends all streams.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		s.server.Stop()
+	}
+}
+
+// Follow sends all keys and then each reading.
+func (s *Server) Follow(_ *wire.FollowRequest, stream wire.News_FollowServer) error {
+	all, batches, end := s.Source.Listen()
+	defer end()
+	if err := stream.Send(encode(all)); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case b, ok := <-batches:
+			if !ok {
+				return status.Error(codes.ResourceExhausted, "the neighbour does not keep up")
+			}
+			if err := stream.Send(encode(b)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// Peers follows neighbours.
+type Peers struct {
+	// Instance is the name of the instance.
+	Instance string
+}
+
+var _ follow.Peers = (*Peers)(nil)
+
+// Follow hands on what a neighbour reads until the connection ends.
+func (p *Peers) Follow(ctx context.Context, n follow.Neighbour, deliver func(follow.Batch)) error {
+	conn, err := grpc.NewClient(
+		"passthrough:///"+n.Address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithWriteBufferSize(_bufferBytes), grpc.WithReadBufferSize(_bufferBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(_maxBatch)),
+	)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := wire.NewNewsClient(conn).Follow(ctx, &wire.FollowRequest{Instance: p.Instance})
+	if err != nil {
+		return errors.Wrap(err, "follow")
+	}
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive")
+		}
+		deliver(decode(time.Now(), b))
+	}
+}
+
+func encode(b follow.Batch) *wire.Batch {
+	now := time.Now()
+	w := &wire.Batch{
+		Whole: b.Whole, Revision: uint64(b.Revision), AgeMs: math.MaxInt32, Changes: make([]*wire.Change, 0, len(b.Changes)),
+	}
+	if !b.At.IsZero() {
+		w.AgeMs = now.Sub(b.At).Milliseconds()
+	}
+	for _, c := range b.Changes {
+		change := &wire.Change{Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Deleted: c.Deleted}
+		if !c.Lapse.IsZero() {
+			change.LapseMs = max(c.Lapse.Sub(now).Milliseconds(), 1)
+		}
+		w.Changes = append(w.Changes, change)
+	}
+	return w
+}
+
+func decode(now time.Time, w *wire.Batch) follow.Batch {
+	b := follow.Batch{
+		Whole: w.GetWhole(), Revision: store.Revision(w.GetRevision()),
+		At: now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond), Changes: make([]follow.Change, 0, len(w.GetChanges())),
+	}
+	for _, c := range w.GetChanges() {
+		change := follow.Change{Change: store.Change{
+			Item:    store.Item{Key: c.GetKey(), Value: c.GetValue(), Revision: store.Revision(c.GetRevision())},
+			Deleted: c.GetDeleted(),
+		}}
+		if c.GetLapseMs() > 0 {
+			change.Lapse = now.Add(time.Duration(c.GetLapseMs()) * time.Millisecond)
+		}
+		b.Changes = append(b.Changes, change)
+	}
+	return b
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -46,6 +46,9 @@
 	_loadAge = time.Second
 	// _shedTime is how long a worker that turned a request away counts as full.
 	_shedTime = 100 * time.Millisecond
+	// _entryTime is how long the entry of a worker that ended may stand: three
+	// of its signs of life, and the way here.
+	_entryTime = 5 * time.Second
 	// _faultBase and _faultMax bound the time for which a worker that failed is
 	// avoided.
 	_faultBase = 500 * time.Millisecond
@@ -145,7 +148,8 @@
 	faultAt    time.Time
 	avoidUntil time.Time
 	// unreachableAt and movedAt are when it could not be reached, and when
-	// another one had its address. Both hold until there is news of it.
+	// another one had its address. Both hold until there is news of it, or its
+	// entry stood for longer than that of a worker that ended.
 	unreachableAt time.Time
 	movedAt       time.Time
 }
@@ -182,7 +186,7 @@
 			}
 			continue
 		}
-		if (w.Cold(now) || s.unreachableAt.After(w.LastNews)) && !r.MayWarm(w) {
+		if (w.Cold(now) || holds(now, s.unreachableAt, w)) && !r.MayWarm(w) {
 			places--
 			continue
 		}
@@ -271,10 +275,12 @@
 // avoided reports whether a worker failed lately, or lost its address, with no
 // word of it since.
 func (p *Placer) avoided(now time.Time, w *worker.Worker, s *state) bool {
-	if !s.movedAt.IsZero() && !w.LastNews.After(s.movedAt) {
-		return true
-	}
-	return now.Before(s.avoidUntil)
+	return holds(now, s.movedAt, w) || now.Before(s.avoidUntil)
+}
+
+// holds reports whether what was found out about a worker still counts.
+func holds(now, found time.Time, w *worker.Worker) bool {
+	return found.After(w.LastNews) && now.Sub(found) < _entryTime
 }
 
 func (s *state) load(now time.Time, w *worker.Worker) float64 {
--- a/site/presence.go
+++ b/site/presence.go
@@ -18,9 +18,9 @@
 const (
 	_instancePrefix = "instances/"
 	// _presenceTTL is how long an instance that fell silent stays known.
-	_presenceTTL = 3 * time.Second
+	_presenceTTL = 4500 * time.Millisecond
 	// _presenceInterval is how often the lease is prolonged.
-	_presenceInterval = time.Second
+	_presenceInterval = 1500 * time.Millisecond
 	// _presenceCall bounds a call.
 	_presenceCall = time.Second
 	// _standingPatience is how long a registration may take to show up among
--- a/site/settings.go
+++ b/site/settings.go
@@ -25,8 +25,10 @@
 	Callers   Listener `json:"callers"`
 	Readiness Listener `json:"readiness"`
 	Directory Listener `json:"directory"`
-	Admin     Listener `json:"admin"`
-	Store     Store    `json:"store"`
+	// Peers is where neighbours connect.
+	Peers Listener `json:"peers"`
+	Admin Listener `json:"admin"`
+	Store Store    `json:"store"`
 	// MemoryMb is what the process may use.
 	MemoryMb int `json:"memoryMb"`
 	// StopSeconds is the time from SIGTERM to the end.
@@ -115,7 +117,7 @@
 	}
 	addresses := []struct{ pointer, value string }{
 		{"/callers/listen", s.Callers.Listen}, {"/readiness/listen", s.Readiness.Listen},
-		{"/directory/listen", s.Directory.Listen}, {"/store/address", s.Store.Address},
+		{"/directory/listen", s.Directory.Listen}, {"/peers/listen", s.Peers.Listen}, {"/store/address", s.Store.Address},
 	}
 	for _, a := range addresses {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
--- a/site/site.go
+++ b/site/site.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonlock/wigeonlock/forward"
 	"github.com/wigeonlock/wigeonlock/front"
 	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/news"
 	"github.com/wigeonlock/wigeonlock/platform"
 	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/worker"
@@ -62,6 +63,7 @@
 	forward  *forward.Service
 	front    *front.Server
 	follower *follow.Follower
+	news     *news.Server
 	presence *presence
 
 	mu        sync.Mutex
@@ -89,11 +91,14 @@
 	}
 	i.front = &front.Server{Names: platform.CallerNames(), Handler: i.forward, Limits: i.currentLimits}
 	i.directory.Self = directory.Member{
-		Name: s.Instance, Address: s.Callers.Listen, Zone: s.Zone, Region: s.Region, Started: time.Now().UnixMilli(),
+		Name: s.Instance, Address: s.Callers.Listen, Zone: s.Zone, Region: s.Region,
+		Peers: s.Peers.Listen, Started: time.Now().UnixMilli(),
 	}
 	i.follower = &follow.Follower{
 		Feed: i.client, Sink: &platform.Sink{Listener: i}, Interval: _followInterval, Log: i.Log,
+		Instance: s.Instance, Neighbours: i.neighbours, Peers: &news.Peers{Instance: s.Instance},
 	}
+	i.news = &news.Server{Source: i.follower}
 	i.presence = &presence{registry: i.client, member: i.directory.Self, log: i.Log, standing: i.registered, ready: i.Ready}
 	i.forward.Update(func(k *forward.Knowledge) { k.Workers.Changed = i.workerChanged })
 	return i
@@ -124,6 +129,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	peers, err := net.Listen("tcp", i.Settings.Peers.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for neighbours")
+	}
+	k.Go("news", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, i.news.Close)
+		defer stop()
+		return i.news.Serve(peers)
+	})
 	k.Go("front", func(context.Context) error { return i.front.Serve(callers) })
 	k.Go("follow", i.follower.Run)
 	k.Go("presence", i.presence.run)
@@ -204,6 +218,18 @@
 	return i.limits
 }
 
+// neighbours returns the instances that may read the store for each other.
+func (i *Site) neighbours() []follow.Neighbour {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	members := i.directory.Neighbours()
+	list := make([]follow.Neighbour, 0, len(members))
+	for _, m := range members {
+		list = append(list, follow.Neighbour{Name: m.Name, Address: m.Peers})
+	}
+	return list
+}
+
 func (i *Site) registered() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -254,8 +280,9 @@
 }
 
 // Worker takes what a worker says of itself.
-func (i *Site) Worker(now time.Time, e worker.Entry, revision store.Revision) {
-	i.forward.Update(func(k *forward.Knowledge) { k.Workers.Put(now, e, revision) })
+func (i *Site) Worker(now time.Time, e worker.Entry, revision store.Revision) (news bool) {
+	i.forward.Update(func(k *forward.Knowledge) { news = k.Workers.Put(now, e, revision) })
+	return news
 }
 
 // WorkerGone tells that a worker's entry is gone.
@@ -283,7 +310,7 @@
 	} else if m, err := decodeMember(value); err == nil && m.Name == name {
 		i.directory.Put(m)
 	}
-	names, most, neighbours := i.directory.Names(), i.directory.Most(), i.directory.Neighbours()
+	names, most, neighbours := i.directory.Names(), i.directory.Most(), len(i.directory.Neighbours())
 	i.mu.Unlock()
 	i.forward.Update(func(k *forward.Knowledge) {
 		k.Instances, k.Most, k.Neighbours = names, max(k.Most, most), neighbours
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -22,6 +22,10 @@
 	"github.com/wigeonlock/wigeonlock/store"
 )
 
+// _coldSlack is how much longer than known a worker must be cold for that to
+// be news: what it says is as old as its way here.
+const _coldSlack = 500 * time.Millisecond
+
 // Entry is what a worker says of itself.
 type Entry struct {
 	// ID names one start of a worker; a worker may start again under its ID.
@@ -116,26 +120,27 @@
 	return r.byID[id]
 }
 
-// Put applies an entry as it was written at a revision.
-func (r *Registry) Put(now time.Time, e Entry, revision store.Revision) {
+// Put applies an entry as it was written at a revision. It reports whether it
+// tells more than that the worker lives.
+func (r *Registry) Put(now time.Time, e Entry, revision store.Revision) bool {
 	if r.removed[e.ID].outdated(e, revision) {
-		return
+		return false
 	}
 	w := r.byID[e.ID]
 	if w != nil && revision <= w.Revision {
 		if revision == w.Revision {
 			w.LapsesAt = time.Time{}
 		}
-		return
+		return false
 	}
 	if w != nil && w.Born != 0 && (e.Born < w.Born || e.Born == w.Born && e.Beat < w.Beat) {
-		return
+		return false
 	}
 	if w == nil || w.Born != e.Born || w.Address != e.Address || w.Service != e.Service {
 		r.start(now, w, e, revision)
-		return
+		return true
 	}
-	r.update(now, w, e, revision)
+	return r.update(now, w, e, revision)
 }
 
 // start replaces what is known by a new start of a worker.
@@ -151,8 +156,11 @@
 	r.tell(w, "started")
 }
 
-func (r *Registry) update(now time.Time, w *Worker, e Entry, revision store.Revision) {
-	wasLeaving := w.Leaving
+// update applies what a known start of a worker says.
+func (r *Registry) update(now time.Time, w *Worker, e Entry, revision store.Revision) bool {
+	wasLeaving, coldUntil := w.Leaving, w.ColdUntil
+	news := e.Leaving != w.Leaving || e.Slots != w.Slots || e.Zone != w.Zone || !w.LapsesAt.IsZero() ||
+		now.Add(e.ColdLeft).Sub(coldUntil) > _coldSlack && e.ColdLeft > 0
 	w.Entry, w.Revision, w.LastNews, w.LapsesAt = e, revision, now, time.Time{}
 	w.ColdUntil = now.Add(e.ColdLeft)
 	switch {
@@ -161,6 +169,7 @@
 	case !e.Leaving && wasLeaving:
 		r.tell(w, "back")
 	}
+	return news
 }
 
 // Delete applies the removal of an entry at a revision.
