--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -31,7 +32,7 @@
 }
 
 func (c *conn) close() {
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // quiet reports whether nothing arrived since the last exchange: neither
@@ -53,8 +54,8 @@
 		quiet bool
 	)
 	err = rc.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, unix.EAGAIN)
 		return true
 	})
 	return err == nil && quiet
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -149,44 +149,55 @@
 	w.WriteString("\r\n")
 }
 
+// reply is one whole answer of a worker.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	// length is the one that the head gave, or negative.
+	length int64
+	// closing is set when the connection ends with the answer.
+	closing bool
+}
+
 // receive reads answers until the one to this request is whole.
 func (p *Pool) receive(c *conn, r *relay.Request, result *Result) error {
 	for range _maxStray + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		answer, err := readReply(c, r)
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-		body, err := readBody(resp)
-		if err != nil {
-			return err
-		}
-		if p.belongs(resp, r) {
-			return p.accept(c, resp, body, result)
+		if p.belongs(answer, r) {
+			return p.accept(c, answer, r, result)
 		}
 		_strays.Inc()
 	}
 	return errStray
 }
 
-// belongs reports whether an answer is the one to a request. Refusals need not
-// name it.
-func (p *Pool) belongs(resp *http.Response, r *relay.Request) bool {
-	id := resp.Header.Get(p.Names.RequestID)
-	if id == "" {
-		return p.notRun(resp)
+// readReply reads one whole answer, passing over interim ones.
+func readReply(c *conn, r *relay.Request) (*reply, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		body, err := readBody(resp)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		return &reply{
+			status: resp.StatusCode, header: resp.Header, body: body, length: resp.ContentLength,
+			closing: resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		}, nil
 	}
-	return id == r.ID
-}
-
-func (p *Pool) notRun(resp *http.Response) bool {
-	return resp.Header.Get(p.Names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 }
 
 func readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
 	if resp.ContentLength > _maxBody {
 		return nil, errTooLarge
 	}
@@ -203,34 +214,48 @@
 	return buf.Bytes(), nil
 }
 
+// belongs reports whether an answer is the one to a request. Refusals need not
+// name it.
+func (p *Pool) belongs(a *reply, r *relay.Request) bool {
+	id := a.header.Get(p.Names.RequestID)
+	if id == "" {
+		return p.notRun(a)
+	}
+	return id == r.ID
+}
+
+func (p *Pool) notRun(a *reply) bool {
+	return a.header.Get(p.Names.NotRun) != "" || a.status == http.StatusMisdirectedRequest
+}
+
 // accept turns a whole answer into a result.
-func (p *Pool) accept(c *conn, resp *http.Response, body []byte, result *Result) error {
-	result.Load = parseLoad(resp.Header.Get(p.Names.Load))
+func (p *Pool) accept(c *conn, a *reply, r *relay.Request, result *Result) error {
+	result.Load = parseLoad(a.header.Get(p.Names.Load))
+	result.closing = a.closing
+	c.keep(a.header)
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
+	case a.status == http.StatusMisdirectedRequest:
 		result.Fault = Misdirected
 		result.Answer = relay.NotRun(relay.WorkerRefused)
-	case p.notRun(resp):
+	case p.notRun(a):
 		result.Fault = Refused
 		result.Answer = relay.NotRun(relay.WorkerRefused)
-	case resp.Header.Get("Content-Encoding") != "":
+	case a.header.Get("Content-Encoding") != "":
 		return errEncoded
 	default:
-		result.Answer = answerOf(resp, body)
+		result.Answer = answerOf(a, r)
 	}
-	result.closing = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	c.keep(resp.Header)
 	return nil
 }
 
-func answerOf(resp *http.Response, body []byte) *relay.Answer {
-	a := &relay.Answer{Outcome: retry.Run, Reason: relay.Served, Status: resp.StatusCode}
-	relay.SetBytes(a, body)
-	if resp.Request.Method == http.MethodHead {
-		a.Length = max(resp.ContentLength, 0)
+func answerOf(from *reply, r *relay.Request) *relay.Answer {
+	a := &relay.Answer{Outcome: retry.Run, Reason: relay.Served, Status: from.status}
+	relay.SetBytes(a, from.body)
+	if r.Method == http.MethodHead {
+		a.Length = max(from.length, 0)
 	}
-	a.Header = make([]relay.Header, 0, len(resp.Header))
-	for name, values := range resp.Header {
+	a.Header = make([]relay.Header, 0, len(from.header))
+	for name, values := range from.header {
 		for _, v := range values {
 			a.Header = append(a.Header, relay.Header{Name: name, Value: v})
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -129,7 +129,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	open map[string]int
 }
 
 var (
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,323 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/exchange"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+var _names = exchange.Names{
+	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load", Object: "Object",
+}
+
+// worker answers each request on a connection with the bytes that script
+// returns; a nil answer closes the connection.
+type worker struct {
+	listener net.Listener
+	mu       sync.Mutex
+	requests []*http.Request
+	conns    int
+}
+
+func startWorker(t *testing.T, script func(n int, r *http.Request, c net.Conn) []byte) *worker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w := &worker{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			w.mu.Lock()
+			w.conns++
+			w.mu.Unlock()
+			go w.serve(c, script)
+		}
+	}()
+	return w
+}
+
+func (w *worker) serve(c net.Conn, script func(int, *http.Request, net.Conn) []byte) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if r.Header.Get("Early") == "" {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		w.mu.Lock()
+		w.requests = append(w.requests, r)
+		n := len(w.requests)
+		w.mu.Unlock()
+		answer := script(n, r, c)
+		if answer == nil {
+			return
+		}
+		if _, err := c.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+func (w *worker) target() exchange.Target {
+	return exchange.Target{ID: "i-1", Address: w.listener.Addr().String()}
+}
+
+func (w *worker) seen() (requests, conns int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.requests), w.conns
+}
+
+func request(id string) *relay.Request {
+	return &relay.Request{ID: id, Method: "GET", URI: "/a//b?c=%2F", Host: "h.example", Body: &relay.Body{}}
+}
+
+func ok(id, body string, more ...string) []byte {
+	head := "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + fmt.Sprint(len(body)) + "\r\n"
+	for _, m := range more {
+		head += m + "\r\n"
+	}
+	return []byte(head + "\r\n" + body)
+}
+
+func bodyOf(r exchange.Result) string {
+	data, _ := relay.Bytes(r.Answer)
+	return string(data)
+}
+
+func do(t *testing.T, p *exchange.Pool, w *worker, r *relay.Request) exchange.Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return p.Do(ctx, w.target(), r, true)
+}
+
+func TestRequestReachesWorkerUnchanged(t *testing.T) {
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return ok(r.Header.Get("Id"), r.RequestURI, "Load: 3,1,8")
+	})
+	p := &exchange.Pool{Names: _names}
+	result := do(t, p, w, request("one"))
+	assert.Equal(t, retry.Run, result.Answer.Outcome)
+	assert.Equal(t, "/a//b?c=%2F", bodyOf(result))
+	assert.Equal(t, &exchange.Load{Running: 3, Waiting: 1, Slots: 8}, result.Load)
+	r := w.requests[0]
+	assert.Equal(t, "h.example", r.Host)
+	assert.Equal(t, "i-1", r.Header.Get("Expect-Worker"))
+	assert.NotEmpty(t, r.Header.Get("Time-Left"))
+}
+
+func TestConnectionIsUsedAgainOnlyWhenClean(t *testing.T) {
+	tests := map[string]struct {
+		answer func(id string) []byte
+		conns  int
+	}{
+		"clean":         {func(id string) []byte { return ok(id, "x") }, 1},
+		"surplus bytes": {func(id string) []byte { return append(ok(id, "x"), "more"...) }, 2},
+		"second answer": {func(id string) []byte { return append(ok(id, "x"), ok(id, "x")...) }, 2},
+		"close":         {func(id string) []byte { return ok(id, "x", "Connection: close") }, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte { return tt.answer(r.Header.Get("Id")) })
+			p := &exchange.Pool{Names: _names}
+			for n := range 2 {
+				assert.Equal(t, retry.Run, do(t, p, w, request(fmt.Sprint("r", n))).Answer.Outcome)
+			}
+			_, conns := w.seen()
+			assert.Equal(t, tt.conns, conns)
+		})
+	}
+}
+
+// TestLateAnswerOfAnotherRequest has the answer to an earlier request arrive
+// where the next one is expected.
+func TestLateAnswerOfAnotherRequest(t *testing.T) {
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return append(ok("other", "wrong"), ok(r.Header.Get("Id"), "right")...)
+	})
+	result := do(t, &exchange.Pool{Names: _names}, w, request("one"))
+	assert.Equal(t, "right", bodyOf(result))
+}
+
+func TestBadAnswersAreUnknown(t *testing.T) {
+	tests := map[string]func(id string) []byte{
+		"cut":         func(id string) []byte { return ok(id, "0123456789")[:50] },
+		"no answer":   func(string) []byte { return nil },
+		"no protocol": func(string) []byte { return []byte("hello\r\n\r\n") },
+		"only others": func(string) []byte { return append(ok("a", ""), append(ok("b", ""), ok("c", "")...)...) },
+		"encoded":     func(id string) []byte { return ok(id, "x", "Content-Encoding: gzip") },
+		"unnamed":     func(string) []byte { return []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") },
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := startWorker(t, func(_ int, r *http.Request, c net.Conn) []byte {
+				_, _ = c.Write(answer(r.Header.Get("Id")))
+				return nil
+			})
+			result := do(t, &exchange.Pool{Names: _names}, w, request("one"))
+			assert.Equal(t, retry.Unknown, result.Answer.Outcome)
+			assert.True(t, result.Arrived)
+			requests, _ := w.seen()
+			assert.Equal(t, 1, requests, "nothing is sent a second time here")
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	w := startWorker(t, func(_ int, r *http.Request, c net.Conn) []byte {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nall of it", r.Header.Get("Id"))
+		return nil
+	})
+	p := &exchange.Pool{Names: _names}
+	assert.Equal(t, "all of it", bodyOf(do(t, p, w, request("one"))))
+
+	reset := startWorker(t, func(_ int, r *http.Request, c net.Conn) []byte {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\npart", r.Header.Get("Id"))
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return nil
+	})
+	assert.Equal(t, retry.Unknown, do(t, p, reset, request("two")).Answer.Outcome, "a reset is no end")
+}
+
+func TestRefusalsDidNotRun(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		fault  exchange.Fault
+	}{
+		"full":    {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", exchange.Refused},
+		"another": {"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", exchange.Misdirected},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := startWorker(t, func(int, *http.Request, net.Conn) []byte { return []byte(tt.answer) })
+			result := do(t, &exchange.Pool{Names: _names}, w, request("one"))
+			assert.Equal(t, retry.NotRun, result.Answer.Outcome)
+			assert.Equal(t, tt.fault, result.Fault)
+			assert.True(t, result.Arrived)
+		})
+	}
+	// A 503 that does not say so has run.
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return []byte("HTTP/1.1 503 Busy\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n")
+	})
+	result := do(t, &exchange.Pool{Names: _names}, w, request("one"))
+	assert.Equal(t, retry.Run, result.Answer.Outcome)
+	assert.Equal(t, 503, result.Answer.Status)
+}
+
+func TestUnreachableDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	p := &exchange.Pool{Names: _names}
+	result := p.Do(context.Background(), exchange.Target{ID: "i", Address: address}, request("one"), true)
+	assert.Equal(t, retry.NotRun, result.Answer.Outcome)
+	assert.Equal(t, exchange.Unreachable, result.Fault)
+	assert.False(t, result.Arrived)
+}
+
+// TestConnectionClosedMeanwhile has a worker close an idle connection: the next
+// request must not be lost on it.
+func TestConnectionClosedMeanwhile(t *testing.T) {
+	w := startWorker(t, func(n int, r *http.Request, c net.Conn) []byte {
+		if n == 1 {
+			_, _ = c.Write(ok(r.Header.Get("Id"), "x"))
+			return nil
+		}
+		return ok(r.Header.Get("Id"), "y")
+	})
+	p := &exchange.Pool{Names: _names}
+	do(t, p, w, request("one"))
+	time.Sleep(50 * time.Millisecond)
+	result := do(t, p, w, request("two"))
+	assert.Equal(t, "y", bodyOf(result))
+	assert.False(t, result.Reused)
+}
+
+// TestEarlyAnswerToLongBody has a worker answer before it read a long body: the
+// connection must not carry anything else where the rest of the body is due.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return []byte("HTTP/1.1 413 Large\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := &exchange.Pool{Names: _names}
+	for n := range 2 {
+		r := request(fmt.Sprint("r", n))
+		r.Method = "POST"
+		r.Header = []relay.Header{{Name: "Early", Value: "1"}}
+		body := strings.Repeat("x", 8<<20)
+		r.Body, r.HasLength = &relay.Body{Bytes: []byte(body), Length: int64(len(body))}, true
+		assert.Equal(t, 413, do(t, p, w, r).Answer.Status)
+	}
+	requests, conns := w.seen()
+	assert.Equal(t, 2, requests)
+	assert.Equal(t, 2, conns)
+}
+
+func TestCallerLeavesEndsExchange(t *testing.T) {
+	gone := make(chan struct{})
+	w := startWorker(t, func(_ int, _ *http.Request, c net.Conn) []byte {
+		_, _ = c.Read(make([]byte, 1))
+		close(gone)
+		return nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	p := &exchange.Pool{Names: _names}
+	result := p.Do(ctx, w.target(), request("one"), true)
+	assert.Equal(t, exchange.Left, result.Fault)
+	assert.Equal(t, retry.Unknown, result.Answer.Outcome)
+	select {
+	case <-gone:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the worker still has the connection")
+	}
+}
+
+func TestSilentWorker(t *testing.T) {
+	w := startWorker(t, func(_ int, _ *http.Request, c net.Conn) []byte {
+		_, _ = c.Read(make([]byte, 1))
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	p := &exchange.Pool{Names: _names}
+	result := p.Do(ctx, w.target(), request("one"), true)
+	assert.Equal(t, exchange.Silent, result.Fault)
+	assert.Equal(t, retry.Unknown, result.Answer.Outcome)
+}
+
+func TestHeadHasLengthAndNoBody(t *testing.T) {
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return []byte("HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 10\r\n\r\n")
+	})
+	r := request("one")
+	r.Method = "HEAD"
+	result := do(t, &exchange.Pool{Names: _names}, w, r)
+	assert.Equal(t, retry.Run, result.Answer.Outcome)
+	assert.EqualValues(t, 10, result.Answer.Length)
+}
--- a/front/conn.go
+++ b/front/conn.go
@@ -56,15 +56,21 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64
+	// err is the last error; a parser may take what was cut for a whole line.
+	err error
 }
 
 // Read fails with errHeaderTooLarge beyond the bound.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left <= 0 {
-		return 0, errHeaderTooLarge
+		l.err = errHeaderTooLarge
+		return 0, l.err
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if err != nil {
+		l.err = err
+	}
 	return n, err
 }
 
@@ -164,9 +170,13 @@
 	limits := c.server.Limits()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTime))
 	c.limit.left = int64(limits.HeaderBytes) + _readBuffer - int64(c.reader.Buffered())
+	c.limit.err = nil
 	req, err := http.ReadRequest(c.reader)
 	c.limit.left = _unlimited
 	if err != nil {
+		if c.limit.err != nil {
+			err = c.limit.err
+		}
 		return nil, c.headProblem(err)
 	}
 	if headBytes(req) > limits.HeaderBytes {
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,296 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/front"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+// handler answers with the request's path once release lets it.
+type handler struct {
+	mu      sync.Mutex
+	started []string
+	left    []string
+	running int
+	most    int
+	release map[string]chan struct{}
+}
+
+func (h *handler) wait(path string) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.release[path]
+}
+
+func (h *handler) Handle(ctx context.Context, r *relay.Request) *relay.Answer {
+	h.mu.Lock()
+	h.started = append(h.started, r.URI)
+	h.running++
+	h.most = max(h.most, h.running)
+	h.mu.Unlock()
+	if c := h.wait(r.URI); c != nil {
+		select {
+		case <-c:
+		case <-ctx.Done():
+			h.mu.Lock()
+			h.left = append(h.left, r.URI)
+			h.mu.Unlock()
+		}
+	}
+	h.mu.Lock()
+	h.running--
+	h.mu.Unlock()
+	a := &relay.Answer{Outcome: retry.Run, Status: http.StatusOK}
+	relay.SetBytes(a, append([]byte(r.URI+":"), r.Body.Bytes...))
+	return a
+}
+
+func (h *handler) Alone(r *relay.Request) bool { return r.Method == http.MethodPost }
+
+func (h *handler) seen() (started, left []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.started...), append([]string(nil), h.left...)
+}
+
+func start(t *testing.T, h *handler, limits front.Limits) (*front.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &front.Server{
+		Names:   front.Names{RequestID: "Id", TimeLeft: "Time-Left", Object: "Object"},
+		Handler: h, Limits: func() front.Limits { return limits },
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		s.Finish(ctx)
+		assert.NoError(t, <-done)
+	})
+	return s, l.Addr().String()
+}
+
+var _limits = front.Limits{HeaderBytes: 4 << 10, BodyBytes: 1 << 20, HeaderTime: time.Second, IdleTime: time.Minute}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: x\r\n\r\n"
+}
+
+func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(body)
+}
+
+// TestAnswersInOrder has the first of three requests sent ahead take longest.
+func TestAnswersInOrder(t *testing.T) {
+	first := make(chan struct{})
+	h := &handler{release: map[string]chan struct{}{"/1": first}}
+	_, address := start(t, h, _limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+get("/2")+get("/3"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { started, _ := h.seen(); return len(started) == 3 }, 5*time.Second, time.Millisecond)
+	close(first)
+	for _, want := range []string{"/1:", "/2:", "/3:"} {
+		_, body := read(t, r)
+		assert.Equal(t, want, body)
+	}
+}
+
+// TestAloneWaitsForThoseBefore has a request that must not run twice wait: an
+// answer before it may close the connection.
+func TestAloneWaitsForThoseBefore(t *testing.T) {
+	first := make(chan struct{})
+	h := &handler{release: map[string]chan struct{}{"/1": first}}
+	_, address := start(t, h, _limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 3\r\n\r\nabc")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	started, _ := h.seen()
+	assert.Equal(t, []string{"/1"}, started)
+	close(first)
+	read(t, r)
+	_, body := read(t, r)
+	assert.Equal(t, "/2:abc", body)
+}
+
+// TestCallerLeavesBehindRequestsSentAhead cancels all of them.
+func TestCallerLeavesBehindRequestsSentAhead(t *testing.T) {
+	never := make(chan struct{})
+	h := &handler{release: map[string]chan struct{}{"/1": never, "/2": never}}
+	_, address := start(t, h, _limits)
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { started, _ := h.seen(); return len(started) == 2 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { _, left := h.seen(); return len(left) == 2 }, 5*time.Second, time.Millisecond)
+}
+
+func TestBadInput(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		status  int
+		reason  string
+	}{
+		"no id":         {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 400, "badRequest"},
+		"bad time":      {"GET / HTTP/1.1\r\nHost: h\r\nId: x\r\nTime-Left: soon\r\n\r\n", 400, "badRequest"},
+		"no protocol":   {"hello\r\n\r\n", 400, "badRequest"},
+		"no path":       {"GET h.example HTTP/1.1\r\nHost: h\r\nId: x\r\n\r\n", 400, "badRequest"},
+		"large header":  {"GET / HTTP/1.1\r\nHost: h\r\nId: x\r\nA: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", 431, "headerTooLarge"},
+		"large body":    {"POST / HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 2000000\r\n\r\n", 413, "bodyTooLarge"},
+		"large chunks":  {"POST / HTTP/1.1\r\nHost: h\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n180000\r\n" + strings.Repeat("x", 0x180000), 413, "bodyTooLarge"},
+		"smuggled body": {"POST / HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, "badRequest"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &handler{}
+			_, address := start(t, h, _limits)
+			c, r := dial(t, address)
+			go func() { _, _ = io.WriteString(c, tt.request) }()
+			resp, body := read(t, r)
+			assert.Equal(t, tt.status, resp.StatusCode)
+			assert.Contains(t, body, `"reason":"`+tt.reason+`"`)
+			assert.True(t, resp.Close)
+			started, _ := h.seen()
+			assert.Empty(t, started, "nothing of it is worked on")
+		})
+	}
+}
+
+func TestSlowHeader(t *testing.T) {
+	limits := _limits
+	limits.HeaderTime = 50 * time.Millisecond
+	_, address := start(t, &handler{}, limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET / HT")
+	require.NoError(t, err)
+	resp, _ := read(t, r)
+	assert.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+}
+
+func TestIdleConnectionEnds(t *testing.T) {
+	limits := _limits
+	limits.IdleTime = 50 * time.Millisecond
+	h := &handler{release: map[string]chan struct{}{"/slow": make(chan struct{})}}
+	_, address := start(t, h, limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/slow"))
+	require.NoError(t, err)
+	time.Sleep(150 * time.Millisecond)
+	close(h.release["/slow"])
+	_, body := read(t, r)
+	assert.Equal(t, "/slow:", body, "a connection with a request on it is not idle")
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// TestLeave serves what comes, closes connections with answers, and finishes
+// what was taken.
+func TestLeave(t *testing.T) {
+	slow := make(chan struct{})
+	h := &handler{release: map[string]chan struct{}{"/slow": slow}}
+	s, address := start(t, h, _limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/slow"))
+	require.NoError(t, err)
+	idle, idleReader := dial(t, address)
+	_, err = io.WriteString(idle, get("/1"))
+	require.NoError(t, err)
+	read(t, idleReader)
+
+	s.Leave()
+	again, againReader := dial(t, address)
+	_, err = io.WriteString(again, get("/2"))
+	require.NoError(t, err)
+	resp, _ := read(t, againReader)
+	assert.True(t, resp.Close, "an answer of a leaving instance closes its connection")
+
+	finished := make(chan struct{})
+	go func() {
+		s.Finish(context.Background())
+		close(finished)
+	}()
+	_, err = idleReader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "idle connections end")
+	select {
+	case <-finished:
+		t.Fatal("finished before the last answer")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(slow)
+	resp, body := read(t, r)
+	assert.Equal(t, "/slow:", body)
+	assert.True(t, resp.Close)
+	<-finished
+}
+
+func TestChunkedBodyAndExpect(t *testing.T) {
+	_, address := start(t, &handler{}, _limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "POST /c HTTP/1.1\r\nHost: h\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	require.NoError(t, err)
+	_, body := read(t, r)
+	assert.Equal(t, "/c:abcde", body)
+
+	_, err = fmt.Fprint(c, "POST /e HTTP/1.1\r\nHost: h\r\nId: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	require.NoError(t, err)
+	line, err := r.ReadString('\n')
+	require.NoError(t, err)
+	assert.Contains(t, line, "100")
+	_, err = r.ReadString('\n')
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "hi")
+	require.NoError(t, err)
+	_, body = read(t, r)
+	assert.Equal(t, "/e:hi", body)
+}
+
+// TestAheadIsBounded sends more requests ahead than are worked on at once.
+func TestAheadIsBounded(t *testing.T) {
+	h := &handler{}
+	_, address := start(t, h, _limits)
+	c, r := dial(t, address)
+	const n = 100
+	go func() {
+		for i := range n {
+			_, _ = io.WriteString(c, get(fmt.Sprint("/", i)))
+		}
+	}()
+	for i := range n {
+		_, body := read(t, r)
+		assert.Equal(t, fmt.Sprintf("/%d:", i), body)
+	}
+	assert.LessOrEqual(t, h.most, 33)
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,316 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/worker"
+)
+
+var _start = time.Unix(1_800_000_000, 0)
+
+func workersOf(zones map[string]int, slots int) []*worker.Worker {
+	r := worker.NewRegistry()
+	n := 0
+	for _, zone := range []string{"a", "b", "c"} {
+		for range zones[zone] {
+			n++
+			r.Put(_start, worker.Entry{
+				ID: fmt.Sprintf("i-%02d", n), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", n), Zone: zone, Slots: slots,
+				Born: 1, Beat: 1,
+			}, 1)
+		}
+	}
+	return r.Of("s")
+}
+
+func newPlacer(zone string) *Placer {
+	return &Placer{Zone: zone, Region: zone, RegionOf: func(z string) string { return z }}
+}
+
+func requestFor(object string) Request {
+	return Request{
+		Service: "s", Object: object, Sharers: 1,
+		MayServe: func(string) bool { return true },
+		Closed:   func(string) bool { return false },
+		MayWarm:  func(*worker.Worker) bool { return false },
+	}
+}
+
+// TestPlacesAreStable takes a worker away: only its objects move.
+func TestPlacesAreStable(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 8}, 4)
+	before, after := map[string]string{}, map[string]string{}
+	for n := range 200 {
+		object := fmt.Sprint(n)
+		before[object] = newPlacer("a").Choose(_start, requestFor(object), workers).Worker.ID
+		after[object] = newPlacer("a").Choose(_start, requestFor(object), workers[1:]).Worker.ID
+	}
+	moved := 0
+	for object, id := range before {
+		if id == workers[0].ID {
+			moved++
+			continue
+		}
+		assert.Equal(t, id, after[object])
+	}
+	assert.InDelta(t, 25, moved, 12, "an eighth of the objects")
+}
+
+// TestInstancesAgree has two instances of a region place alike.
+func TestInstancesAgree(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 2, "b": 6}, 4)
+	one, other := newPlacer("a"), newPlacer("a")
+	for n := range 100 {
+		object := fmt.Sprint(n)
+		assert.Equal(t, one.Choose(_start, requestFor(object), workers).Worker.ID,
+			other.Choose(_start, requestFor(object), workers).Worker.ID)
+	}
+}
+
+func TestWhoGetsNothing(t *testing.T) {
+	tests := map[string]func(w *worker.Worker, r *Request){
+		"leaving":        func(w *worker.Worker, _ *Request) { w.Leaving = true },
+		"lapsed":         func(w *worker.Worker, _ *Request) { w.LapsesAt = _start },
+		"zone closed":    func(_ *worker.Worker, r *Request) { r.Closed = func(zone string) bool { return zone == "a" } },
+		"not a home":     func(_ *worker.Worker, r *Request) { r.MayServe = func(region string) bool { return region != "a" } },
+		"tried":          func(w *worker.Worker, r *Request) { r.Tried = []string{w.ID} },
+		"cold, no leave": func(w *worker.Worker, _ *Request) { w.ColdUntil = _start.Add(time.Second) },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			workers := workersOf(map[string]int{"a": 1}, 4)
+			r := requestFor("x")
+			require.NotNil(t, newPlacer("a").Choose(_start, r, workers).Worker)
+			change(workers[0], &r)
+			assert.Nil(t, newPlacer("a").Choose(_start, r, workers).Worker)
+		})
+	}
+}
+
+func TestReasonWithoutWorker(t *testing.T) {
+	p := newPlacer("a")
+	assert.Equal(t, NoWorkers, p.Choose(_start, requestFor("x"), nil).Reason)
+	workers := workersOf(map[string]int{"a": 1}, 1)
+	for range 3 {
+		p.Begin(_start, "x", workers[0])
+	}
+	assert.Equal(t, NoRoom, p.Choose(_start, requestFor("x"), workers).Reason)
+	r := requestFor("x")
+	r.Tried = []string{workers[0].ID}
+	assert.Equal(t, AllTried, newPlacer("a").Choose(_start, r, workers).Reason)
+}
+
+func TestFailedWorkerIsAvoidedForAWhile(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 2}, 4)
+	p := newPlacer("a")
+	first := p.Choose(_start, requestFor("x"), workers).Worker
+	p.Begin(_start, "x", first)
+	p.End(_start, first, Report{Outcome: Failed})
+	assert.NotEqual(t, first, p.Choose(_start.Add(100*time.Millisecond), requestFor("x"), workers).Worker)
+	assert.Equal(t, first, p.Choose(_start.Add(time.Second), requestFor("x"), workers).Worker)
+}
+
+// TestUnreachableWorkerMayBeCold has a worker that could not be reached come
+// back: until there is word of it, it gets only what a cold one may get.
+func TestUnreachableWorkerMayBeCold(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 1}, 4)
+	p := newPlacer("a")
+	p.Begin(_start, "x", workers[0])
+	p.End(_start, workers[0], Report{Outcome: Unreachable})
+	later := _start.Add(2 * time.Second)
+	assert.Nil(t, p.Choose(later, requestFor("x"), workers).Worker)
+	workers[0].LastNews = later
+	assert.NotNil(t, p.Choose(later, requestFor("x"), workers).Worker)
+}
+
+// TestMovedAddressWaitsForNews has another worker answer at an address.
+func TestMovedAddressWaitsForNews(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 1}, 4)
+	p := newPlacer("a")
+	p.Begin(_start, "x", workers[0])
+	p.End(_start, workers[0], Report{Outcome: Moved})
+	assert.Nil(t, p.Choose(_start.Add(3*time.Second), requestFor("x"), workers).Worker)
+	assert.NotNil(t, p.Choose(_start.Add(6*time.Second), requestFor("x"), workers).Worker)
+}
+
+// service is a model of workers that run warm objects in a fraction of the
+// time, keep few objects warm, and turn away what they have no queue for.
+type service struct {
+	slots, queue, keeps int
+	warm, cold          time.Duration
+	workers             map[string]*modelWorker
+}
+
+type modelWorker struct {
+	// free is when each slot has run what it has.
+	free []time.Time
+	// recent are the objects, the last used at the end.
+	recent []string
+}
+
+// run returns when a request is done, or false if it is turned away, and the
+// load after it.
+func (s *service) run(now time.Time, id, object string) (done time.Time, busy int, ok bool) {
+	w := s.workers[id]
+	if w == nil {
+		w = &modelWorker{free: make([]time.Time, s.slots)}
+		s.workers[id] = w
+	}
+	first := 0
+	var waiting time.Duration
+	for i, free := range w.free {
+		if free.Before(w.free[first]) {
+			first = i
+		}
+		waiting += max(free.Sub(now), 0)
+	}
+	busy = int(waiting / s.warm)
+	if busy >= s.slots+s.queue {
+		return now, busy, false
+	}
+	took := s.cold
+	for i, o := range w.recent {
+		if o == object {
+			took = s.warm
+			w.recent = append(w.recent[:i], w.recent[i+1:]...)
+			break
+		}
+	}
+	w.recent = append(w.recent, object)
+	if len(w.recent) > s.keeps {
+		w.recent = w.recent[1:]
+	}
+	from := w.free[first]
+	if from.Before(now) {
+		from = now
+	}
+	w.free[first] = from.Add(took)
+	return w.free[first], busy + 1, true
+}
+
+// TestBurstDoesNotChillWorkers replays a burst over workers that run cold
+// objects three times as long: 235 requests a second, twice that for three
+// seconds. If requests spill along the whole order, all workers hold all
+// objects, everything runs cold and stays full. After the burst nearly all
+// requests must be quick again.
+func TestBurstDoesNotChillWorkers(t *testing.T) {
+	const (
+		objects   = 135
+		objective = 400 * time.Millisecond
+	)
+	workers := workersOf(map[string]int{"a": 16}, 5)
+	s := &service{
+		slots: 5, queue: 15, keeps: 20, warm: 144 * time.Millisecond, cold: 480 * time.Millisecond,
+		workers: map[string]*modelWorker{},
+	}
+	p := newPlacer("a")
+	type running struct {
+		w    *worker.Worker
+		done time.Time
+		busy int
+	}
+	var open []running
+	quick, late := 0, 0
+	random := uint64(7)
+	for at := time.Duration(0); at < 20*time.Second; {
+		step := time.Second / 235
+		if at > 5*time.Second && at < 8*time.Second {
+			step /= 2
+		}
+		at += step
+		now := _start.Add(at)
+		left := open[:0]
+		for _, r := range open {
+			if r.done.After(now) {
+				left = append(left, r)
+				continue
+			}
+			p.End(now, r.w, Report{Outcome: Answered, Told: true, Running: r.busy, Took: s.warm})
+		}
+		open = left
+		random = mix(random + 0x9e3779b97f4a7c15)
+		object := fmt.Sprint(random % objects)
+		c := p.Choose(now, requestFor(object), workers)
+		if c.Worker == nil {
+			late++
+			continue
+		}
+		p.Begin(now, object, c.Worker)
+		done, busy, ok := s.run(now, c.Worker.ID, object)
+		if !ok {
+			p.End(now, c.Worker, Report{Outcome: Shed, Told: true, Running: s.slots, Waiting: s.queue})
+			late++
+			continue
+		}
+		open = append(open, running{c.Worker, done, busy})
+		if at > 14*time.Second {
+			if done.Sub(now) <= objective {
+				quick++
+			} else {
+				late++
+			}
+		}
+		if at <= 14*time.Second {
+			late = 0
+		}
+	}
+	assert.Greater(t, float64(quick)/float64(quick+late), 0.95, "quick %d, late %d", quick, late)
+}
+
+// TestHomeShareMovesInSteps replays a wave of demand: of the objects, at most
+// fifteen in a hundred may change the region within two seconds.
+func TestHomeShareMovesInSteps(t *testing.T) {
+	h := &homeShare{}
+	last, lastAt := -1.0, 0
+	for at := 0; at < 60_000; at += 10 {
+		now := _start.Add(time.Duration(at) * time.Millisecond)
+		// Three times as much from second 20 to 40.
+		if at%20 == 0 || at >= 20_000 && at < 40_000 {
+			h.arrived(now)
+			h.ran(150 * time.Millisecond)
+		}
+		share := h.update(now, 10, 80, 3, 1)
+		if last < 0 || at-lastAt >= 2000 {
+			if last >= 0 {
+				assert.InDelta(t, last, share, 0.15)
+			}
+			last, lastAt = share, at
+		}
+	}
+}
+
+func TestHomeShareFollowsDemandAndSlots(t *testing.T) {
+	h := &homeShare{}
+	run := func(from, to, every int, own int) float64 {
+		share := 0.0
+		for at := from; at < to; at += every {
+			now := _start.Add(time.Duration(at) * time.Millisecond)
+			h.arrived(now)
+			h.ran(150 * time.Millisecond)
+			share = h.update(now, own, 80, 3, 1)
+		}
+		return share
+	}
+	assert.InDelta(t, 1, run(0, 30_000, 50, 10), 0.01, "three slots of ten are needed")
+	assert.InDelta(t, 0.4, run(30_000, 60_000, 10, 10), 0.05, "fifteen slots of ten are needed")
+	fell := run(60_000, 60_020, 10, 5)
+	assert.InDelta(t, 0.2, fell, 0.05, "at once when slots go")
+	assert.Zero(t, (&homeShare{}).update(_start, 0, 80, 3, 1), "no worker at home")
+	assert.InDelta(t, 1, (&homeShare{}).update(_start, 80, 80, 3, 1), 0.01, "no other worker")
+}
+
+func TestWarmthIsBounded(t *testing.T) {
+	m := &warmth{}
+	for n := range 3 * _maxWarm {
+		m.note(_start, uint64(n), "i")
+	}
+	assert.LessOrEqual(t, len(m.last), _maxWarm)
+	assert.True(t, m.holds(_start, 3*_maxWarm-1, "i"))
+	assert.False(t, m.holds(_start.Add(_warmTime), 3*_maxWarm-1, "i"))
+	assert.False(t, m.holds(_start, 3*_maxWarm-1, "j"))
+}
--- a/site/settings.go
+++ b/site/settings.go
@@ -116,8 +116,11 @@
 		}
 	}
 	addresses := []struct{ pointer, value string }{
-		{"/callers/listen", s.Callers.Listen}, {"/readiness/listen", s.Readiness.Listen},
-		{"/directory/listen", s.Directory.Listen}, {"/peers/listen", s.Peers.Listen}, {"/store/address", s.Store.Address},
+		{"/callers/listen", s.Callers.Listen},
+		{"/readiness/listen", s.Readiness.Listen},
+		{"/directory/listen", s.Directory.Listen},
+		{"/peers/listen", s.Peers.Listen},
+		{"/store/address", s.Store.Address},
 	}
 	for _, a := range addresses {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
@@ -131,7 +134,9 @@
 		pointer string
 		value   float64
 	}{
-		{"/memoryMb", float64(s.MemoryMb)}, {"/stopSeconds", s.StopSeconds}, {"/ttlSeconds", s.TTLSeconds},
+		{"/memoryMb", float64(s.MemoryMb)},
+		{"/stopSeconds", s.StopSeconds},
+		{"/ttlSeconds", s.TTLSeconds},
 		{"/retry/windowSeconds", s.Retry.WindowSeconds},
 	}
 	for _, p := range positive {
@@ -143,8 +148,10 @@
 		pointer string
 		value   float64
 	}{
-		{"/retry/ratio", s.Retry.Ratio}, {"/retry/extra", s.Retry.Extra},
-		{"/cold/overrun", s.Cold.Overrun}, {"/cold/slack", s.Cold.Slack},
+		{"/retry/ratio", s.Retry.Ratio},
+		{"/retry/extra", s.Retry.Extra},
+		{"/cold/overrun", s.Cold.Overrun},
+		{"/cold/slack", s.Cold.Slack},
 	}
 	for _, p := range notNegative {
 		if p.value < 0 {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -150,7 +150,9 @@
 	}
 	w := &Worker{Entry: e, Revision: revision, FirstSeen: now, LastNews: now, ColdUntil: now.Add(e.ColdLeft)}
 	r.byID[e.ID] = w
-	list := append(r.services[e.Service], w)
+	known := r.services[e.Service]
+	list := make([]*Worker, 0, len(known)+1)
+	list = append(append(list, known...), w)
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	r.services[e.Service] = list
 	r.tell(w, "started")
--- /dev/null
+++ b/worker/worker_test.go
@@ -0,0 +1,110 @@
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wigeonlock/wigeonlock/worker"
+)
+
+var _start = time.Unix(1_800_000_000, 0)
+
+func entry(id string, beat int64) worker.Entry {
+	return worker.Entry{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Born: 100, Beat: beat}
+}
+
+func TestSignOfLifeIsNoNews(t *testing.T) {
+	r := worker.NewRegistry()
+	assert.True(t, r.Put(_start, entry("i", 1), 10), "a new worker is news")
+	assert.False(t, r.Put(_start.Add(time.Second), entry("i", 2), 11))
+	leaving := entry("i", 3)
+	leaving.Leaving = true
+	assert.True(t, r.Put(_start.Add(2*time.Second), leaving, 12))
+	assert.False(t, r.Get("i").Usable(_start.Add(2*time.Second)))
+}
+
+func TestOlderNewsDoesNotCount(t *testing.T) {
+	r := worker.NewRegistry()
+	leaving := entry("i", 5)
+	leaving.Leaving = true
+	r.Put(_start, leaving, 20)
+	r.Put(_start, entry("i", 4), 19)
+	assert.True(t, r.Get("i").Leaving, "an older revision")
+	r.Put(_start, entry("i", 4), 21)
+	assert.True(t, r.Get("i").Leaving, "a sign of life that was delayed on its way to the store")
+}
+
+func TestGoneStaysGone(t *testing.T) {
+	r := worker.NewRegistry()
+	leaving := entry("i", 5)
+	leaving.Leaving = true
+	r.Put(_start, leaving, 20)
+	r.Delete("i", 30)
+	assert.Nil(t, r.Get("i"))
+	r.Put(_start, entry("i", 5), 25)
+	assert.Nil(t, r.Get("i"), "written before the removal")
+	r.Put(_start, entry("i", 6), 31)
+	assert.Nil(t, r.Get("i"), "the same start had said that it leaves")
+	again := entry("i", 1)
+	again.Born = 200
+	assert.True(t, r.Put(_start, again, 32), "a new start under the old name")
+	assert.Len(t, r.Of("s"), 1)
+}
+
+func TestWorkerReturnsAfterLapse(t *testing.T) {
+	r := worker.NewRegistry()
+	r.Put(_start, entry("back", 1), 10)
+	r.Put(_start, entry("lost", 1), 11)
+	left := entry("left", 1)
+	left.Leaving = true
+	r.Put(_start, left, 12)
+	lapse := _start.Add(1800 * time.Millisecond)
+	for _, id := range []string{"back", "lost", "left"} {
+		r.Missing(id, 20, lapse)
+	}
+	assert.Nil(t, r.Get("left"), "a leaving worker does not return")
+	assert.True(t, r.Get("back").Usable(_start.Add(time.Second)))
+
+	assert.True(t, r.Put(_start.Add(time.Second), entry("back", 2), 21), "its return is news")
+	r.Sweep(lapse)
+	assert.NotNil(t, r.Get("back"))
+	assert.Nil(t, r.Get("lost"))
+	assert.Len(t, r.Of("s"), 1)
+}
+
+func TestMissingWithoutOutageIsGone(t *testing.T) {
+	r := worker.NewRegistry()
+	r.Put(_start, entry("i", 1), 10)
+	r.Missing("i", 20, time.Time{})
+	assert.Nil(t, r.Get("i"))
+}
+
+func TestColdUntilItSaysOtherwise(t *testing.T) {
+	r := worker.NewRegistry()
+	r.Put(_start, entry("i", 1), 10)
+	assert.False(t, r.Get("i").Cold(_start))
+	r.Chill(_start, "a", func(string) time.Duration { return 3 * time.Second })
+	assert.True(t, r.Get("i").Cold(_start.Add(2*time.Second)))
+	assert.False(t, r.Get("i").Cold(_start.Add(3*time.Second)))
+
+	cold := entry("i", 2)
+	cold.ColdLeft = 2 * time.Second
+	assert.True(t, r.Put(_start.Add(10*time.Second), cold, 11), "cold again is news")
+	assert.True(t, r.Get("i").Cold(_start.Add(11*time.Second)))
+	cold.Beat, cold.ColdLeft = 3, 500*time.Millisecond
+	assert.False(t, r.Put(_start.Add(11500*time.Millisecond), cold, 12), "as cold as known")
+}
+
+func TestNewAddressIsNewWorker(t *testing.T) {
+	r := worker.NewRegistry()
+	r.Put(_start, entry("i", 1), 10)
+	first := r.Get("i")
+	moved := entry("i", 1)
+	moved.Address, moved.Born = "10.0.0.2:80", 200
+	r.Put(_start, moved, 11)
+	assert.True(t, first.Gone)
+	assert.Equal(t, "10.0.0.2:80", r.Get("i").Address)
+	assert.Len(t, r.Of("s"), 1)
+}
