--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,71 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wigeonlock/wigeonlock/directory"
+)
+
+func member(name, region string) directory.Member {
+	return directory.Member{Name: name, Address: name + ":80", Zone: region + "-a", Region: region, Started: 1}
+}
+
+func newDirectory() *directory.Directory {
+	d := &directory.Directory{Self: member("self", "tunis"), Serving: true}
+	for _, m := range []directory.Member{member("t2", "tunis"), member("s1", "sfax"), member("o1", "sousse")} {
+		d.Put(m)
+	}
+	return d
+}
+
+func TestOwnRegionFirst(t *testing.T) {
+	d := newDirectory()
+	assert.Equal(t, []string{"self:80", "t2:80"}, d.Choose("tunis", nil))
+	assert.Equal(t, []string{"s1:80"}, d.Choose("sfax", []string{"tunis"}), "the caller's region needs no home")
+	d.Delete("s1", time.Time{})
+	assert.Equal(t, []string{"o1:80", "self:80", "t2:80"}, d.Choose("sfax", nil))
+	assert.Equal(t, []string{"self:80", "t2:80"}, d.Choose("sfax", []string{"tunis"}), "homes bind")
+}
+
+func TestLeavingInstanceIsNotNamed(t *testing.T) {
+	d := newDirectory()
+	d.Serving = false
+	assert.Equal(t, []string{"t2:80"}, d.Choose("tunis", nil))
+}
+
+func TestInstanceReturnsAfterLapse(t *testing.T) {
+	d := newDirectory()
+	now := time.Unix(1000, 0)
+	d.Delete("t2", now.Add(time.Second))
+	d.Delete("s1", now.Add(time.Second))
+	assert.Len(t, d.Names(), 4, "it may return")
+	d.Put(member("t2", "tunis"))
+	d.Sweep(now.Add(2 * time.Second))
+	assert.Equal(t, []string{"o1", "self", "t2"}, d.Names())
+	assert.Equal(t, 3, d.Most(), "shares do not grow when instances fall silent")
+}
+
+func TestRegisteredIsThisStart(t *testing.T) {
+	d := newDirectory()
+	assert.False(t, d.Registered())
+	old := d.Self
+	old.Started = 0
+	d.Put(old)
+	assert.False(t, d.Registered(), "the key of an earlier start")
+	d.Put(d.Self)
+	assert.True(t, d.Registered())
+	d.Delete("self", time.Unix(1, 0))
+	assert.False(t, d.Registered())
+}
+
+func TestNoMoreThanCallersUse(t *testing.T) {
+	d := newDirectory()
+	for n := range 100 {
+		d.Put(member(fmt.Sprint("more-", n), "tunis"))
+	}
+	assert.Len(t, d.Choose("tunis", nil), directory.MaxAddresses)
+}
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,361 @@
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/follow"
+	"github.com/wigeonlock/wigeonlock/store"
+)
+
+func item(key string, revision store.Revision) store.Item {
+	return store.Item{Key: key, Value: []byte(key), Revision: revision}
+}
+
+func put(key string, revision store.Revision) follow.Change {
+	return follow.Change{Change: store.Change{Item: item(key, revision)}}
+}
+
+func deleted(key string, revision store.Revision) follow.Change {
+	return follow.Change{Change: store.Change{Item: store.Item{Key: key, Revision: revision}, Deleted: true}}
+}
+
+func keys(changes []follow.Change) []string {
+	var list []string
+	for _, c := range changes {
+		if c.Deleted {
+			list = append(list, "-"+c.Key)
+			continue
+		}
+		list = append(list, c.Key)
+	}
+	return list
+}
+
+// TestNewsCountsByRevision brings the same news from two readers, one of them
+// behind the other.
+func TestNewsCountsByRevision(t *testing.T) {
+	c := &follow.Copy{}
+	assert.Equal(t, []string{"a", "b"}, keys(c.Apply(follow.Batch{Whole: true, Revision: 10, Changes: []follow.Change{put("a", 5), put("b", 6)}}, time.Time{})))
+	assert.Equal(t, []string{"-a"}, keys(c.Apply(follow.Batch{Revision: 20, Changes: []follow.Change{deleted("a", 15)}}, time.Time{})))
+
+	old := follow.Batch{Whole: true, Revision: 12, Changes: []follow.Change{put("a", 5), put("b", 6)}}
+	assert.Empty(t, c.Apply(old, time.Time{}), "a reader that is behind brings nothing back")
+	assert.EqualValues(t, 20, c.Revision())
+
+	c.Apply(follow.Batch{Revision: 21, Changes: []follow.Change{put("c", 21)}}, time.Time{})
+	assert.Empty(t, c.Apply(old, time.Time{}), "and deletes nothing that is newer")
+	assert.Equal(t, []string{"a"}, keys(c.Apply(follow.Batch{Revision: 30, Changes: []follow.Change{put("a", 25)}}, time.Time{})), "a key that was written again")
+}
+
+func TestMissingFromWholeReading(t *testing.T) {
+	c := &follow.Copy{}
+	c.Apply(follow.Batch{Whole: true, Revision: 10, Changes: []follow.Change{put("a", 5), put("b", 6)}}, time.Time{})
+	lapse := time.Unix(100, 0)
+	gone := c.Apply(follow.Batch{Whole: true, Revision: 20, Changes: []follow.Change{put("b", 6)}}, lapse)
+	require.Equal(t, []string{"-a"}, keys(gone))
+	assert.Equal(t, lapse, gone[0].Lapse)
+	assert.Len(t, c.All().Changes, 1)
+}
+
+func TestOrderPassesSilentReadersOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := []follow.Neighbour{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
+	o := &follow.Order{Self: "none"}
+	first, found := o.Reader(now, all)
+	require.True(t, found)
+	again, _ := (&follow.Order{Self: "other"}).Reader(now, []follow.Neighbour{all[3], all[1], all[0], all[2]})
+	assert.Equal(t, first, again, "all have the same order")
+
+	o.Distrust(now, first.Name)
+	second, found := o.Reader(now, all)
+	require.True(t, found)
+	assert.NotEqual(t, first, second)
+	back, _ := o.Reader(now.Add(time.Minute), all)
+	assert.Equal(t, first, back)
+
+	self := &follow.Order{Self: first.Name}
+	_, found = self.Reader(now, all)
+	assert.False(t, found, "the first reads itself")
+	_, found = o.Reader(now, nil)
+	assert.False(t, found, "so does one that knows no others")
+}
+
+// feed is a store that can be changed, be away and forget its history.
+type feed struct {
+	mu      sync.Mutex
+	items   map[string]store.Item
+	changes []store.Change
+	rev     store.Revision
+	away    bool
+	compact bool
+	calls   int
+}
+
+func (f *feed) write(key string, gone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rev++
+	if gone {
+		delete(f.items, key)
+		f.changes = append(f.changes, store.Change{Item: store.Item{Key: key, Revision: f.rev}, Deleted: true})
+		return
+	}
+	if f.items == nil {
+		f.items = map[string]store.Item{}
+	}
+	f.items[key] = item(key, f.rev)
+	f.changes = append(f.changes, store.Change{Item: f.items[key]})
+}
+
+func (f *feed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *feed) Range(context.Context, string) ([]store.Item, store.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.away {
+		return nil, 0, store.ErrUnavailable
+	}
+	var list []store.Item
+	for _, i := range f.items {
+		list = append(list, i)
+	}
+	f.compact = false
+	return list, f.rev, nil
+}
+
+func (f *feed) Changes(_ context.Context, _ string, after store.Revision, _ time.Duration) ([]store.Change, store.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.away {
+		return nil, 0, store.ErrUnavailable
+	}
+	if f.compact {
+		return nil, 0, store.ErrCompacted
+	}
+	var list []store.Change
+	for _, c := range f.changes {
+		if c.Revision > after {
+			list = append(list, c)
+		}
+	}
+	return list, f.rev, nil
+}
+
+// sink records what it is told.
+type sink struct {
+	mu     sync.Mutex
+	keys   map[string]bool
+	lapses map[string]time.Time
+	lost   int
+	read   int
+}
+
+func newSink() *sink { return &sink{keys: map[string]bool{}, lapses: map[string]time.Time{}} }
+
+func (s *sink) Put(_ time.Time, i store.Item) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys[i.Key] = true
+	return true
+}
+
+func (s *sink) Delete(_ time.Time, key string, _ store.Revision, lapse time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.keys, key)
+	s.lapses[key] = lapse
+}
+
+func (s *sink) Done(time.Time, store.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read++
+}
+
+func (s *sink) Lost(time.Time, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost++
+}
+
+func (s *sink) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys[key]
+}
+
+func (s *sink) lapse(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lapses[key]
+}
+
+const (
+	_patience = 10 * time.Second
+	_poll     = 5 * time.Millisecond
+)
+
+func run(t *testing.T, f *follow.Follower) {
+	t.Helper()
+	f.Log = zap.NewNop()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.NoError(t, f.Run(ctx))
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func TestFollowerReadsChangesAndAnewAfterCompaction(t *testing.T) {
+	f, s := &feed{}, newSink()
+	f.write("a", false)
+	run(t, &follow.Follower{Feed: f, Sink: s, Interval: 10 * time.Millisecond})
+	require.Eventually(t, func() bool { return s.has("a") }, _patience, _poll)
+	f.write("b", false)
+	require.Eventually(t, func() bool { return s.has("b") }, _patience, _poll)
+
+	f.set(func() {
+		f.rev++
+		delete(f.items, "a")
+		f.compact = true
+	})
+	require.Eventually(t, func() bool { return !s.has("a") }, _patience, _poll, "a deletion in the gap")
+	lapse := s.lapse("a")
+	assert.True(t, lapse.IsZero(), "the store was not away")
+}
+
+// TestLapseAfterOutage has keys go while the store is away.
+func TestLapseAfterOutage(t *testing.T) {
+	f, s := &feed{}, newSink()
+	f.write("a", false)
+	run(t, &follow.Follower{Feed: f, Sink: s, Interval: 10 * time.Millisecond})
+	require.Eventually(t, func() bool { return s.has("a") }, _patience, _poll)
+	f.set(func() { f.away = true })
+	time.Sleep(1300 * time.Millisecond)
+	f.write("a", true)
+	f.set(func() { f.away = false })
+	require.Eventually(t, func() bool { return !s.has("a") }, _patience, _poll)
+	lapse := s.lapse("a")
+	assert.False(t, lapse.IsZero(), "it may return")
+	assert.Less(t, time.Until(lapse), 2*time.Second)
+
+	f.write("b", false)
+	require.Eventually(t, func() bool { return s.has("b") }, _patience, _poll)
+	time.Sleep(1100 * time.Millisecond)
+	f.write("b", true)
+	require.Eventually(t, func() bool { return !s.has("b") }, _patience, _poll)
+	lapse = s.lapse("b")
+	assert.True(t, lapse.IsZero(), "a deletion later than a second after the return is one")
+}
+
+// peers connects followers in one process; silent ones hand on nothing.
+type peers struct {
+	mu      sync.Mutex
+	by      map[string]*follow.Follower
+	silent  map[string]bool
+	follows int
+}
+
+func (p *peers) Follow(ctx context.Context, n follow.Neighbour, deliver func(follow.Batch)) error {
+	p.mu.Lock()
+	source := p.by[n.Name]
+	p.follows++
+	p.mu.Unlock()
+	all, batches, end := source.Listen()
+	defer end()
+	deliver(all)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case b, ok := <-batches:
+			if !ok {
+				return nil
+			}
+			p.mu.Lock()
+			silent := p.silent[n.Name]
+			p.mu.Unlock()
+			if !silent {
+				deliver(b)
+			}
+		}
+	}
+}
+
+// TestOneReadsForAll has three instances follow the one that reads, and take
+// over when it falls silent.
+func TestOneReadsForAll(t *testing.T) {
+	f := &feed{}
+	f.write("a", false)
+	all := []follow.Neighbour{{Name: "n1"}, {Name: "n2"}, {Name: "n3"}}
+	p := &peers{by: map[string]*follow.Follower{}, silent: map[string]bool{}}
+	sinks := map[string]*sink{}
+	for _, n := range all {
+		sinks[n.Name] = newSink()
+		p.by[n.Name] = &follow.Follower{
+			Feed: f, Sink: sinks[n.Name], Interval: 100 * time.Millisecond, Instance: n.Name, Peers: p,
+			Neighbours: func() []follow.Neighbour { return all },
+		}
+	}
+	for _, n := range all {
+		run(t, p.by[n.Name])
+	}
+	everywhere := func(key string) func() bool {
+		return func() bool {
+			for _, s := range sinks {
+				if !s.has(key) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, everywhere("a"), _patience, _poll)
+	time.Sleep(500 * time.Millisecond)
+	f.set(func() { f.calls = 0 })
+	time.Sleep(2 * time.Second)
+	f.set(func() { assert.Less(t, f.calls, 45, "one of three reads ten times a second, not all") })
+
+	f.write("b", false)
+	require.Eventually(t, everywhere("b"), _patience, _poll)
+
+	leader, _ := (&follow.Order{Self: "none"}).Reader(time.Now(), all)
+	p.mu.Lock()
+	p.silent[leader.Name] = true
+	p.mu.Unlock()
+	f.write("c", false)
+	require.Eventually(t, everywhere("c"), _patience, _poll, "the others read for themselves")
+}
+
+func TestListenerThatDoesNotKeepUpStartsAnew(t *testing.T) {
+	f, s := &feed{}, newSink()
+	follower := &follow.Follower{Feed: f, Sink: s, Interval: time.Millisecond}
+	_, batches, end := follower.Listen()
+	defer end()
+	run(t, follower)
+	closed := false
+	deadline := time.After(_patience)
+	time.Sleep(3 * time.Second)
+	for !closed {
+		select {
+		case _, ok := <-batches:
+			closed = !ok
+		case <-deadline:
+			t.Fatal("the channel did not close")
+		}
+	}
+}
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,250 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/catalog"
+	"github.com/wigeonlock/wigeonlock/exchange"
+	"github.com/wigeonlock/wigeonlock/forward"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/worker"
+)
+
+// exchanger answers the n-th exchange by the n-th of its results, and further
+// ones by the last.
+type exchanger struct {
+	mu      sync.Mutex
+	results []exchange.Result
+	sent    []string
+	left    []time.Duration
+	wait    func(ctx context.Context)
+}
+
+func (e *exchanger) Do(ctx context.Context, t exchange.Target, _ *relay.Request, _ bool) exchange.Result {
+	e.mu.Lock()
+	n := min(len(e.sent), len(e.results)-1)
+	e.sent = append(e.sent, t.ID)
+	at, _ := ctx.Deadline()
+	e.left = append(e.left, time.Until(at))
+	result := e.results[n]
+	e.mu.Unlock()
+	if e.wait != nil {
+		e.wait(ctx)
+	}
+	return result
+}
+
+func (e *exchanger) Drop(string) {}
+
+func ran(status int) exchange.Result {
+	a := &relay.Answer{Outcome: retry.Run, Reason: relay.Served, Status: status}
+	relay.SetBytes(a, []byte("body"))
+	return exchange.Result{Answer: a, Arrived: true}
+}
+
+func refused() exchange.Result {
+	return exchange.Result{Answer: relay.NotRun(relay.WorkerRefused), Fault: exchange.Refused, Arrived: true}
+}
+
+func broken() exchange.Result {
+	return exchange.Result{Answer: relay.Unknown(relay.WorkerBroken), Fault: exchange.Broken, Arrived: true}
+}
+
+func unreachable() exchange.Result {
+	return exchange.Result{Answer: relay.NotRun(relay.WorkerUnreachable), Fault: exchange.Unreachable}
+}
+
+func route(name string, kind catalog.Kind, attempts int) catalog.Route {
+	return catalog.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Timeout: time.Second,
+		Shares: []catalog.Share{{Service: "s", Weight: 1}},
+	}
+}
+
+func newService(t *testing.T, e *exchanger, workers int) *forward.Service {
+	t.Helper()
+	s := &forward.Service{
+		Exchange: e, Instance: "edge-1", Zone: "a", Region: "r", Zones: map[string]string{"a": "r"}, Log: zap.NewNop(),
+	}
+	s.Prepare(forward.Bounds{RetryRatio: 0.2, RetryExtra: 58, RetryWindow: 10 * time.Second, ColdOverrun: 1.5, ColdSlack: 5})
+	c, err := catalog.New(3, []catalog.Route{
+		route("read", catalog.Idempotent, 3), route("pay", catalog.NonIdempotent, 3), route("once", catalog.Idempotent, 1),
+	}, nil, catalog.Limits{})
+	require.NoError(t, err)
+	s.Update(func(k *forward.Knowledge) {
+		k.Catalog = c
+		for n := range workers {
+			k.Workers.Put(time.Now(), worker.Entry{
+				ID: fmt.Sprint("i-", n), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", n), Zone: "a", Slots: 4, Born: 1, Beat: 1,
+			}, 1)
+		}
+	})
+	return s
+}
+
+func request(path string) *relay.Request {
+	return &relay.Request{
+		ID: "id", Method: "GET", URI: path, Host: "h:8080", TimeLeft: time.Second, Received: time.Now(), Body: &relay.Body{},
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		results []exchange.Result
+		sent    int
+		status  int
+	}{
+		"served":                             {"/read/x", []exchange.Result{ran(200)}, 1, 200},
+		"worker's own error is passed on":    {"/pay/x", []exchange.Result{ran(500)}, 1, 500},
+		"a read that failed runs again":      {"/read/x", []exchange.Result{ran(500), ran(200)}, 2, 200},
+		"but passes the failure on":          {"/read/x", []exchange.Result{ran(500), refused()}, 3, 500},
+		"refused, then served":               {"/read/x", []exchange.Result{refused(), ran(200)}, 2, 200},
+		"refused everywhere":                 {"/read/x", []exchange.Result{refused()}, 3, 503},
+		"unreachable, then served":           {"/pay/x", []exchange.Result{unreachable(), ran(200)}, 2, 200},
+		"payment refused, then served":       {"/pay/x", []exchange.Result{refused(), ran(200)}, 2, 200},
+		"payment broken is not sent again":   {"/pay/x", []exchange.Result{broken(), ran(200)}, 1, 502},
+		"payment refused, then broken":       {"/pay/x", []exchange.Result{refused(), broken(), ran(200)}, 2, 502},
+		"read broken is sent again":          {"/read/x", []exchange.Result{broken(), ran(200)}, 2, 200},
+		"read broken everywhere":             {"/read/x", []exchange.Result{broken()}, 3, 502},
+		"at most as many workers as allowed": {"/once/x", []exchange.Result{refused(), ran(200)}, 1, 503},
+		"no route":                           {"/none/x", []exchange.Result{ran(200)}, 0, 404},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := &exchanger{results: tt.results}
+			s := newService(t, e, 4)
+			a := s.Handle(context.Background(), request(tt.path))
+			assert.Equal(t, tt.status, a.Status)
+			assert.Len(t, e.sent, tt.sent)
+			seen := map[string]bool{}
+			for _, id := range e.sent {
+				assert.False(t, seen[id], "a worker gets a request once")
+				seen[id] = true
+			}
+			if tt.status == 503 {
+				pause, err := strconv.ParseFloat(relay.Get(a.Header, "Retry-After"), 64)
+				require.NoError(t, err)
+				assert.Greater(t, pause, 0.0)
+				assert.Less(t, pause, 1.0/3, "within a third of the time left")
+			}
+		})
+	}
+}
+
+func TestNothingKnownYet(t *testing.T) {
+	e := &exchanger{results: []exchange.Result{ran(200)}}
+	s := &forward.Service{Exchange: e, Zones: map[string]string{"a": "r"}, Log: zap.NewNop()}
+	s.Prepare(forward.Bounds{RetryWindow: time.Second})
+	assert.Equal(t, http.StatusServiceUnavailable, s.Handle(context.Background(), request("/read/x")).Status,
+		"no routes known is not the same as no route")
+	require.ErrorIs(t, s.Ready(), forward.ErrNoCatalog)
+
+	s = newService(t, e, 0)
+	require.ErrorIs(t, s.Ready(), forward.ErrNoWorkers)
+	assert.Equal(t, http.StatusServiceUnavailable, s.Handle(context.Background(), request("/read/x")).Status)
+	assert.Empty(t, e.sent)
+	assert.NoError(t, newService(t, e, 1).Ready())
+}
+
+// TestSharedRetryBudget has all workers fail every request.
+func TestSharedRetryBudget(t *testing.T) {
+	e := &exchanger{results: []exchange.Result{ran(500)}}
+	s := newService(t, e, 4)
+	const n = 300
+	for range n {
+		s.Handle(context.Background(), request("/read/x"))
+	}
+	again := len(e.sent) - n
+	assert.Positive(t, again)
+	assert.LessOrEqual(t, float64(again), 0.2*n+58)
+}
+
+func TestClosedZoneAndHomes(t *testing.T) {
+	e := &exchanger{results: []exchange.Result{ran(200)}}
+	s := newService(t, e, 4)
+	s.Update(func(k *forward.Knowledge) { k.Closed["a"] = true })
+	assert.Equal(t, 503, s.Handle(context.Background(), request("/read/x")).Status)
+	assert.Empty(t, e.sent)
+	s.Update(func(k *forward.Knowledge) { k.Closed["a"] = false })
+	assert.Equal(t, 200, s.Handle(context.Background(), request("/read/x")).Status)
+
+	bound := route("bound", catalog.Idempotent, 3)
+	bound.Homes = []string{"elsewhere"}
+	c, err := catalog.New(4, []catalog.Route{bound}, nil, catalog.Limits{})
+	require.NoError(t, err)
+	s.Update(func(k *forward.Knowledge) { k.Catalog = c })
+	assert.Equal(t, 503, s.Handle(context.Background(), request("/bound/x")).Status)
+	assert.Equal(t, []string{"elsewhere"}, s.Homes("h:80"))
+}
+
+// TestTimeLimits bounds a request by the caller's time and by the route's.
+func TestTimeLimits(t *testing.T) {
+	e := &exchanger{results: []exchange.Result{ran(200)}}
+	s := newService(t, e, 4)
+	short := request("/read/x")
+	short.TimeLeft = 300 * time.Millisecond
+	s.Handle(context.Background(), short)
+	long := request("/read/x")
+	long.TimeLeft = time.Minute
+	s.Handle(context.Background(), long)
+	assert.LessOrEqual(t, e.left[0], 300*time.Millisecond)
+	assert.Greater(t, e.left[1], 300*time.Millisecond)
+	assert.LessOrEqual(t, e.left[1], time.Second)
+}
+
+// TestDeadlinePasses tells a request that may have run from one that has not.
+func TestDeadlinePasses(t *testing.T) {
+	until := func(ctx context.Context) { <-ctx.Done() }
+	silent := exchange.Result{Answer: relay.Unknown(relay.WorkerSilent), Fault: exchange.Silent, Arrived: true}
+	for _, path := range []string{"/read/x", "/pay/x"} {
+		e := &exchanger{results: []exchange.Result{silent}, wait: until}
+		s := newService(t, e, 4)
+		r := request(path)
+		r.TimeLeft = 50 * time.Millisecond
+		assert.Equal(t, http.StatusGatewayTimeout, s.Handle(context.Background(), r).Status)
+		assert.Len(t, e.sent, 1)
+	}
+	e := &exchanger{results: []exchange.Result{unreachable()}, wait: until}
+	s := newService(t, e, 4)
+	r := request("/pay/x")
+	r.TimeLeft = 50 * time.Millisecond
+	assert.Equal(t, http.StatusServiceUnavailable, s.Handle(context.Background(), r).Status, "it has not run")
+}
+
+// TestPaymentIsNotBrokenOff has a caller leave: what must not run twice goes
+// on, the rest ends.
+func TestPaymentIsNotBrokenOff(t *testing.T) {
+	for path, ends := range map[string]bool{"/pay/x": false, "/read/x": true} {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := false
+		e := &exchanger{results: []exchange.Result{ran(200)}, wait: func(ctx context.Context) {
+			cancel()
+			select {
+			case <-ctx.Done():
+				ended = true
+			case <-time.After(50 * time.Millisecond):
+			}
+		}}
+		newService(t, e, 1).Handle(ctx, request(path))
+		assert.Equal(t, ends, ended, path)
+	}
+}
+
+func TestAlone(t *testing.T) {
+	s := newService(t, &exchanger{}, 1)
+	assert.True(t, s.Alone(request("/pay/x")))
+	assert.False(t, s.Alone(request("/read/x")))
+	assert.False(t, s.Alone(request("/none/x")))
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -101,14 +101,20 @@
 	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: x\r\n\r\n"
 }
 
-func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+// answer is the head of an answer.
+type answer struct {
+	status int
+	closes bool
+}
+
+func read(t *testing.T, r *bufio.Reader) (answer, string) {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
 	require.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
-	return resp, string(body)
+	return answer{resp.StatusCode, resp.Close}, string(body)
 }
 
 // TestAnswersInOrder has the first of three requests sent ahead take longest.
@@ -180,9 +186,9 @@
 			c, r := dial(t, address)
 			go func() { _, _ = io.WriteString(c, tt.request) }()
 			resp, body := read(t, r)
-			assert.Equal(t, tt.status, resp.StatusCode)
+			assert.Equal(t, tt.status, resp.status)
 			assert.Contains(t, body, `"reason":"`+tt.reason+`"`)
-			assert.True(t, resp.Close)
+			assert.True(t, resp.closes)
 			started, _ := h.seen()
 			assert.Empty(t, started, "nothing of it is worked on")
 		})
@@ -197,7 +203,7 @@
 	_, err := io.WriteString(c, "GET / HT")
 	require.NoError(t, err)
 	resp, _ := read(t, r)
-	assert.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	assert.Equal(t, http.StatusRequestTimeout, resp.status)
 }
 
 func TestIdleConnectionEnds(t *testing.T) {
@@ -235,7 +241,7 @@
 	_, err = io.WriteString(again, get("/2"))
 	require.NoError(t, err)
 	resp, _ := read(t, againReader)
-	assert.True(t, resp.Close, "an answer of a leaving instance closes its connection")
+	assert.True(t, resp.closes, "an answer of a leaving instance closes its connection")
 
 	finished := make(chan struct{})
 	go func() {
@@ -252,7 +258,7 @@
 	close(slow)
 	resp, body := read(t, r)
 	assert.Equal(t, "/slow:", body)
-	assert.True(t, resp.Close)
+	assert.True(t, resp.closes)
 	<-finished
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -28,8 +28,8 @@
 	return r.Of("s")
 }
 
-func newPlacer(zone string) *Placer {
-	return &Placer{Zone: zone, Region: zone, RegionOf: func(z string) string { return z }}
+func newPlacer() *Placer {
+	return &Placer{Zone: "a", Region: "a", RegionOf: func(z string) string { return z }}
 }
 
 func requestFor(object string) Request {
@@ -47,8 +47,8 @@
 	before, after := map[string]string{}, map[string]string{}
 	for n := range 200 {
 		object := fmt.Sprint(n)
-		before[object] = newPlacer("a").Choose(_start, requestFor(object), workers).Worker.ID
-		after[object] = newPlacer("a").Choose(_start, requestFor(object), workers[1:]).Worker.ID
+		before[object] = newPlacer().Choose(_start, requestFor(object), workers).Worker.ID
+		after[object] = newPlacer().Choose(_start, requestFor(object), workers[1:]).Worker.ID
 	}
 	moved := 0
 	for object, id := range before {
@@ -64,7 +64,7 @@
 // TestInstancesAgree has two instances of a region place alike.
 func TestInstancesAgree(t *testing.T) {
 	workers := workersOf(map[string]int{"a": 2, "b": 6}, 4)
-	one, other := newPlacer("a"), newPlacer("a")
+	one, other := newPlacer(), newPlacer()
 	for n := range 100 {
 		object := fmt.Sprint(n)
 		assert.Equal(t, one.Choose(_start, requestFor(object), workers).Worker.ID,
@@ -85,15 +85,15 @@
 		t.Run(name, func(t *testing.T) {
 			workers := workersOf(map[string]int{"a": 1}, 4)
 			r := requestFor("x")
-			require.NotNil(t, newPlacer("a").Choose(_start, r, workers).Worker)
+			require.NotNil(t, newPlacer().Choose(_start, r, workers).Worker)
 			change(workers[0], &r)
-			assert.Nil(t, newPlacer("a").Choose(_start, r, workers).Worker)
+			assert.Nil(t, newPlacer().Choose(_start, r, workers).Worker)
 		})
 	}
 }
 
 func TestReasonWithoutWorker(t *testing.T) {
-	p := newPlacer("a")
+	p := newPlacer()
 	assert.Equal(t, NoWorkers, p.Choose(_start, requestFor("x"), nil).Reason)
 	workers := workersOf(map[string]int{"a": 1}, 1)
 	for range 3 {
@@ -102,12 +102,12 @@
 	assert.Equal(t, NoRoom, p.Choose(_start, requestFor("x"), workers).Reason)
 	r := requestFor("x")
 	r.Tried = []string{workers[0].ID}
-	assert.Equal(t, AllTried, newPlacer("a").Choose(_start, r, workers).Reason)
+	assert.Equal(t, AllTried, newPlacer().Choose(_start, r, workers).Reason)
 }
 
 func TestFailedWorkerIsAvoidedForAWhile(t *testing.T) {
 	workers := workersOf(map[string]int{"a": 2}, 4)
-	p := newPlacer("a")
+	p := newPlacer()
 	first := p.Choose(_start, requestFor("x"), workers).Worker
 	p.Begin(_start, "x", first)
 	p.End(_start, first, Report{Outcome: Failed})
@@ -119,7 +119,7 @@
 // back: until there is word of it, it gets only what a cold one may get.
 func TestUnreachableWorkerMayBeCold(t *testing.T) {
 	workers := workersOf(map[string]int{"a": 1}, 4)
-	p := newPlacer("a")
+	p := newPlacer()
 	p.Begin(_start, "x", workers[0])
 	p.End(_start, workers[0], Report{Outcome: Unreachable})
 	later := _start.Add(2 * time.Second)
@@ -131,7 +131,7 @@
 // TestMovedAddressWaitsForNews has another worker answer at an address.
 func TestMovedAddressWaitsForNews(t *testing.T) {
 	workers := workersOf(map[string]int{"a": 1}, 4)
-	p := newPlacer("a")
+	p := newPlacer()
 	p.Begin(_start, "x", workers[0])
 	p.End(_start, workers[0], Report{Outcome: Moved})
 	assert.Nil(t, p.Choose(_start.Add(3*time.Second), requestFor("x"), workers).Worker)
@@ -208,7 +208,7 @@
 		slots: 5, queue: 15, keeps: 20, warm: 144 * time.Millisecond, cold: 480 * time.Millisecond,
 		workers: map[string]*modelWorker{},
 	}
-	p := newPlacer("a")
+	p := newPlacer()
 	type running struct {
 		w    *worker.Worker
 		done time.Time
--- /dev/null
+++ b/site/site_test.go
@@ -0,0 +1,295 @@
+package site_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/site"
+	"github.com/wigeonlock/wigeonlock/standin"
+)
+
+const (
+	_patience = 15 * time.Second
+	_poll     = 20 * time.Millisecond
+)
+
+// worker is a worker of the users' platform: it answers with its name.
+type worker struct {
+	id, address string
+	server      *http.Server
+	mu          sync.Mutex
+	served      int
+	held        chan struct{}
+}
+
+func startWorker(t *testing.T, kv *standin.KV, id, service, zone string) *worker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w := &worker{id: id, address: l.Addr().String()}
+	w.server = &http.Server{Handler: http.HandlerFunc(w.handle), ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.server.Serve(l) }()
+	t.Cleanup(func() { _ = w.server.Close() })
+	w.say(kv, service, zone, "ready", 1)
+	return w
+}
+
+func (w *worker) say(kv *standin.KV, service, zone, state string, beat int) {
+	kv.Write("servers/"+w.id, fmt.Sprintf(
+		`{"address":%q,"born":1,"info":{"service":%q,"zone":%q,"slots":4,"version":"v1"},"status":{"state":%q,"sequence":%d,"cold_left_ms":0}}`,
+		w.address, service, zone, state, beat))
+}
+
+func (w *worker) handle(rw http.ResponseWriter, r *http.Request) {
+	if expect := r.Header.Get("X-Expect-Instance"); expect != w.id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	w.served++
+	held := w.held
+	w.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	rw.Header().Set("X-Server-Stamp", "stamp-"+w.id)
+	_, _ = io.WriteString(rw, w.id)
+}
+
+func (w *worker) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.served
+}
+
+func configOf(version int, service string, more ...string) string {
+	rows := `["r","h.example","/r/","idempotent",2000,500,1,"` + service + `",2,true,[],null]`
+	for _, m := range more {
+		rows += "," + m
+	}
+	return fmt.Sprintf(`{"version":"%08x","routes":{"columns":["name","host","prefix","route_kind","timeout_ms","target_latency_ms","priority","service","max_attempts","sticky","home_regions","traffic_split"],"rows":[%s]},
+"services":{"columns":["name","health_path","max_conns","protocol","tls","cold_start_s","cold_per_s"],"rows":[["s1","/health",330,"h1",false,3.0,7.9],["s2","/health",330,"h1",false,3.0,7.9]]},
+"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, rows)
+}
+
+type instance struct {
+	settings *site.Settings
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+func startInstance(t *testing.T, kv *standin.KV, name, zone string) *instance {
+	t.Helper()
+	address := func() site.Listener {
+		a, err := standin.LoopbackAddress()
+		require.NoError(t, err)
+		return site.Listener{Listen: a}
+	}
+	s := site.Default()
+	s.Instance, s.Region, s.Zone = name, "r", zone
+	s.Zones = []site.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}}
+	s.Callers, s.Readiness, s.Directory, s.Peers, s.Admin = address(), address(), address(), address(), address()
+	s.Store.Address = kv.Address()
+	s.StopSeconds = 2
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{settings: &s, cancel: cancel, done: make(chan error, 1)}
+	go func() { i.done <- site.New(&s, zap.NewNop()).Run(ctx) }()
+	t.Cleanup(func() { i.stop(t) })
+	return i
+}
+
+func (i *instance) stop(t *testing.T) {
+	t.Helper()
+	if i.cancel == nil {
+		return
+	}
+	i.cancel()
+	i.cancel = nil
+	select {
+	case err := <-i.done:
+		assert.NoError(t, err)
+	case <-time.After(_patience):
+		t.Error("the instance did not stop")
+	}
+}
+
+func (i *instance) ready() bool {
+	resp, err := http.Get("http://" + i.settings.Readiness.Listen + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// named are the addresses that the directory names.
+func (i *instance) named(t *testing.T) []string {
+	t.Helper()
+	resp, err := http.Get("http://" + i.settings.Directory.Listen + "/resolve?name=h.example&region=r&zone=a")
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&answer))
+	assert.LessOrEqual(t, answer.TTL, 5.0)
+	return answer.Addresses
+}
+
+func (i *instance) get(path string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+i.settings.Callers.Listen+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", fmt.Sprint("q", time.Now().UnixNano()))
+	req.Header.Set("X-Deadline-Ms", "2000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// answered reports whether a request ends with a status and a body.
+func (i *instance) answered(path string, status int, body string) func() bool {
+	return func() bool {
+		got, text, err := i.get(path)
+		return err == nil && got == status && strings.Contains(text, body)
+	}
+}
+
+// TestWholePath takes two instances through what an operator and workers do:
+// first configuration, a new one, a worker that leaves, an emptied zone, a
+// store that is away, and a planned stop.
+func TestWholePath(t *testing.T) {
+	kv := standin.NewKV()
+	defer kv.Close()
+	one := startInstance(t, kv, "edge-1", "a")
+	require.Eventually(t, one.answered("/r/x", http.StatusServiceUnavailable, "noLists"), _patience, _poll)
+	assert.False(t, one.ready(), "no configuration is known")
+
+	w1 := startWorker(t, kv, "i-1", "s1", "a")
+	w2 := startWorker(t, kv, "i-2", "s2", "b")
+	kv.Write("servers/i-foreign", "not a worker")
+	kv.Write("op/config", configOf(5, "s1"))
+	two := startInstance(t, kv, "edge-2", "b")
+	instances := []*instance{one, two}
+	for _, i := range instances {
+		require.Eventually(t, i.answered("/r/x", http.StatusOK, "i-1"), _patience, _poll)
+		require.Eventually(t, i.ready, _patience, _poll)
+		require.Eventually(t, func() bool { return len(i.named(t)) == 2 }, _patience, _poll)
+	}
+
+	kv.Write("op/config", configOf(9, "s2", `["n","h.example","/n/","idempotent",2000,500,1,"s1",2,true,[],null]`))
+	for _, i := range instances {
+		require.Eventually(t, i.answered("/r/x", http.StatusOK, "i-2"), _patience, _poll)
+		require.Eventually(t, i.answered("/n/x", http.StatusOK, "i-1"), _patience, _poll)
+	}
+	kv.Write("op/config", configOf(8, "s1"))
+	time.Sleep(1500 * time.Millisecond)
+	assert.True(t, one.answered("/n/x", http.StatusOK, "i-1")(), "an older version does not count")
+
+	w1.say(kv, "s1", "a", "draining", 2)
+	require.Eventually(t, one.answered("/n/x", http.StatusServiceUnavailable, "noRoom"), _patience, _poll)
+	require.Eventually(t, two.answered("/n/x", http.StatusServiceUnavailable, "noRoom"), _patience, _poll)
+	before := w1.count()
+	assert.True(t, one.answered("/n/x", http.StatusServiceUnavailable, "noRoom")())
+	assert.True(t, two.answered("/n/x", http.StatusServiceUnavailable, "noRoom")())
+	assert.Equal(t, before, w1.count(), "a leaving worker gets nothing new")
+
+	kv.Write("op/evacuate/b", "{}")
+	for _, i := range instances {
+		require.Eventually(t, i.answered("/r/x", http.StatusServiceUnavailable, "noRoom"), _patience, _poll)
+	}
+	before = w2.count()
+	assert.True(t, one.answered("/r/x", http.StatusServiceUnavailable, "noRoom")())
+	assert.Equal(t, before, w2.count())
+	kv.Delete("op/evacuate/b")
+	for _, i := range instances {
+		require.Eventually(t, i.answered("/r/x", http.StatusOK, "i-2"), _patience, _poll)
+	}
+
+	kv.Set(standin.KVBusy)
+	time.Sleep(2500 * time.Millisecond)
+	for _, i := range instances {
+		assert.True(t, i.answered("/r/x", http.StatusOK, "i-2")(), "what is known serves on")
+		assert.True(t, i.ready())
+	}
+	kv.Set(standin.KVServes)
+
+	held := make(chan struct{})
+	w2.mu.Lock()
+	w2.held = held
+	w2.mu.Unlock()
+	count := w2.count()
+	last := make(chan bool, 1)
+	go func() { last <- two.answered("/r/x", http.StatusOK, "i-2")() }()
+	require.Eventually(t, func() bool { return w2.count() > count }, _patience, _poll)
+	go func() {
+		time.Sleep(1200 * time.Millisecond)
+		close(held)
+	}()
+	two.stop(t)
+	assert.True(t, <-last, "what was taken is answered")
+	require.Eventually(t, func() bool { return len(one.named(t)) == 1 }, _patience, _poll)
+	assert.Len(t, kv.Keys("wigeonlock/instances/"), 1)
+}
+
+// TestRegistrationReturns takes the key of an instance away unseen.
+func TestRegistrationReturns(t *testing.T) {
+	kv := standin.NewKV()
+	defer kv.Close()
+	startWorker(t, kv, "i-1", "s1", "a")
+	kv.Write("op/config", configOf(5, "s1"))
+	startInstance(t, kv, "edge-1", "a")
+	const key = "wigeonlock/instances/edge-1"
+	stands := func() bool { return len(kv.Keys(key)) == 1 }
+	require.Eventually(t, stands, _patience, _poll)
+	time.Sleep(time.Second)
+	kv.Delete(key)
+	require.Eventually(t, stands, _patience, _poll)
+}
+
+func TestSettings(t *testing.T) {
+	good := `{"instance":"e","region":"r","zone":"a","zones":[{"name":"a","region":"r"}],
+"callers":{"listen":"127.0.0.1:1"},"readiness":{"listen":"127.0.0.1:2"},"directory":{"listen":"127.0.0.1:3"},
+"peers":{"listen":"127.0.0.1:4"},"store":{"address":"127.0.0.1:5"}}`
+	s, err := site.Parse("f.jsonc", []byte(good))
+	require.NoError(t, err)
+	assert.Equal(t, 6*time.Second, s.Stop())
+	for name, tt := range map[string]struct{ old, by, want string }{
+		"required":      {`"instance":"e",`, ``, "instance is required"},
+		"address":       {`"127.0.0.1:5"`, `"there"`, `"there" is not host:port`},
+		"other region":  {`"region":"r","zone"`, `"region":"q","zone"`, `but region is "q"`},
+		"unknown key":   {`"store"`, `"stroe"`, "stroe"},
+		"type":          {`"127.0.0.1:1"`, `1`, "must be a string"},
+		"negative":      {`{"instance"`, `{"retry":{"ratio":-1},"instance"`, "-1 is below 0"},
+		"no window":     {`{"instance"`, `{"retry":{"windowSeconds":0},"instance"`, "0 is not above 0"},
+		"unknown level": {`{"instance"`, `{"log":{"level":"loud"},"instance"`, `"loud"`},
+	} {
+		_, err := site.Parse("f.jsonc", []byte(strings.Replace(good, tt.old, tt.by, 1)))
+		require.Error(t, err, name)
+		assert.Contains(t, err.Error(), "f.jsonc:", name)
+		assert.Contains(t, err.Error(), tt.want, name)
+	}
+}
