--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -40,10 +40,10 @@
 	// _defaultIdle is how long a connection is kept when the worker does not say.
 	_defaultIdle = 4 * time.Second
 	// _idleMargin is the part of the worker's idle time that is used.
-	_idleMargin = 0.6
+	_idleMargin = 0.8
 	// _provenIdle is how long a connection may have been idle for a request that
 	// must not run twice: a reset on it leaves the outcome unknown.
-	_provenIdle = time.Second
+	_provenIdle = 3 * time.Second
 	// _maxIdle bounds the idle connections to one worker.
 	_maxIdle = 16
 	// _maxStray bounds the late answers to other requests that are passed over.
