Callers are told five capable instances of their region

Instances with links of 10 Mbit/s were full of downloads. Also: the process ends at nine tenths of the time to stop (one was killed).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,7 +1,7 @@
 // Package directory knows the instances that take callers and decides which
 // of them a caller is told.
 //
-// Callers are told the instances of their own region, so that their requests
+// Callers are told some instances of their own region, so that their requests
 // do not cross regions twice; those of other regions only when there is none.
 //
 // # Usage
@@ -16,8 +16,19 @@
 	"time"
 )
 
-// MaxAddresses is the most addresses that a caller uses.
-const MaxAddresses = 64
+const (
+	// MaxAddresses is the most addresses that a caller uses.
+	MaxAddresses = 64
+	// MaxNamed is the number of instances of a region that callers are told.
+	// Each sees the load of all workers better the fewer there are, and keeps
+	// more connections in use; fewer would not bear the loss of some.
+	MaxNamed = 5
+	// _leastCapacity is the capacity, as a part of the best one's in the region,
+	// below which an instance is not named while enough others are.
+	_leastCapacity = 0.5
+	// _enoughNamed is that number.
+	_enoughNamed = 3
+)
 
 // Member is an instance that takes callers.
 type Member struct {
@@ -29,6 +40,9 @@
 	Peers string `json:"peers"`
 	// Started is the Unix millisecond of its start.
 	Started int64 `json:"started"`
+	// Capacity ranks the instances of a zone: those that bear more are named
+	// first.
+	Capacity float64 `json:"capacity"`
 }
 
 // Directory holds the instances known. It is not safe for concurrent use.
@@ -116,30 +130,88 @@
 // Choose returns the addresses for a caller of a region. homes, if any, are the
 // regions that may be sent to besides the caller's.
 func (d *Directory) Choose(region string, homes []string) []string {
-	own := d.in(func(m Member) bool { return m.Region == region })
-	if len(own) > 0 {
+	if own := d.named(region); len(own) > 0 {
 		return own
 	}
-	if len(homes) > 0 {
-		return d.in(func(m Member) bool { return contains(homes, m.Region) })
+	var addresses []string
+	for _, r := range d.regions() {
+		if len(homes) == 0 || contains(homes, r) {
+			addresses = append(addresses, d.named(r)...)
+		}
 	}
-	return d.in(func(Member) bool { return true })
+	return addresses[:min(len(addresses), MaxAddresses)]
 }
 
-func (d *Directory) in(keep func(Member) bool) []string {
-	var addresses []string
+// regions returns the regions with instances, in order.
+func (d *Directory) regions() []string {
+	var regions []string
+	for _, m := range d.serving() {
+		if !contains(regions, m.Region) {
+			regions = append(regions, m.Region)
+		}
+	}
+	sort.Strings(regions)
+	return regions
+}
+
+// serving returns the instances that take callers.
+func (d *Directory) serving() []Member {
+	list := make([]Member, 0, len(d.members)+1)
 	for name, e := range d.members {
-		if name != d.Self.Name && keep(e.Member) {
-			addresses = append(addresses, e.Address)
+		if name != d.Self.Name {
+			list = append(list, e.Member)
 		}
 	}
-	if d.Serving && keep(d.Self) {
-		addresses = append(addresses, d.Self.Address)
+	if d.Serving {
+		list = append(list, d.Self)
 	}
-	sort.Strings(addresses)
-	if len(addresses) > MaxAddresses {
-		addresses = addresses[:MaxAddresses]
+	return list
+}
+
+// named returns the addresses of a region that callers are told: from each of
+// its zones in turn, the most capable first.
+func (d *Directory) named(region string) []string {
+	zones := make(map[string][]Member)
+	var names []string
+	for _, m := range d.serving() {
+		if m.Region != region {
+			continue
+		}
+		if zones[m.Zone] == nil {
+			names = append(names, m.Zone)
+		}
+		zones[m.Zone] = append(zones[m.Zone], m)
+	}
+	sort.Strings(names)
+	for _, list := range zones {
+		sort.Slice(list, func(i, j int) bool {
+			if list[i].Capacity != list[j].Capacity {
+				return list[i].Capacity > list[j].Capacity
+			}
+			return list[i].Name < list[j].Name
+		})
 	}
+	best := 0.0
+	for _, list := range zones {
+		best = max(best, list[0].Capacity)
+	}
+	var addresses []string
+	for turn := 0; len(addresses) < MaxNamed; turn++ {
+		before := len(addresses)
+		for _, zone := range names {
+			if turn >= len(zones[zone]) || len(addresses) >= MaxNamed {
+				continue
+			}
+			m := zones[zone][turn]
+			if m.Capacity >= best*_leastCapacity || len(addresses) < _enoughNamed {
+				addresses = append(addresses, m.Address)
+			}
+		}
+		if len(addresses) == before {
+			break
+		}
+	}
+	sort.Strings(addresses)
 	return addresses
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -62,10 +62,43 @@
 	assert.False(t, d.Registered())
 }
 
+// TestFewCapableInstancesAreNamed has thirty instances of unequal links in two
+// zones: a small link that carried its part of the downloads was full.
+func TestFewCapableInstancesAreNamed(t *testing.T) {
+	d := &directory.Directory{Self: member("self", "tunis")}
+	large := map[string]bool{}
+	for n := range 30 {
+		m := member(fmt.Sprintf("m-%02d", n), "tunis")
+		m.Zone = fmt.Sprint("tunis-", n%2)
+		m.Capacity = 0.03
+		if n%5 == 0 {
+			m.Capacity = 0.6
+			large[m.Address] = true
+		}
+		d.Put(m)
+	}
+	named := d.Choose("tunis", nil)
+	assert.Len(t, named, directory.MaxNamed)
+	for _, address := range named {
+		assert.True(t, large[address], address)
+	}
+
+	one := &directory.Directory{Self: member("self", "tunis")}
+	for n := range 5 {
+		m := member(fmt.Sprint("m-", n), "tunis")
+		m.Capacity = 0.03
+		if n == 0 {
+			m.Capacity = 0.6
+		}
+		one.Put(m)
+	}
+	assert.Len(t, one.Choose("tunis", nil), 3, "one alone would not bear a loss")
+}
+
 func TestNoMoreThanCallersUse(t *testing.T) {
-	d := newDirectory()
+	d := &directory.Directory{Self: member("self", "tunis")}
 	for n := range 100 {
-		d.Put(member(fmt.Sprint("more-", n), "tunis"))
+		d.Put(member(fmt.Sprint("more-", n), fmt.Sprint("region-", n%20)))
 	}
-	assert.Len(t, d.Choose("tunis", nil), directory.MaxAddresses)
+	assert.Len(t, d.Choose("nowhere", nil), directory.MaxAddresses)
 }
--- a/site/settings.go
+++ b/site/settings.go
@@ -31,6 +31,9 @@
 	Store Store    `json:"store"`
 	// MemoryMb is what the process may use.
 	MemoryMb int `json:"memoryMb"`
+	// Cores and LinkMbit are what the machine has; zero means not known.
+	Cores    float64 `json:"cores"`
+	LinkMbit float64 `json:"linkMbit"`
 	// StopSeconds is the time from SIGTERM to the end.
 	StopSeconds float64 `json:"stopSeconds"`
 	// TTLSeconds is the longest time that callers keep an answer of the
@@ -182,6 +185,16 @@
 	return time.Duration(s * float64(time.Second))
 }
 
+// _linkPerCore is the bandwidth, in Mbit/s, that weighs as much as a core: an
+// instance of a third of a core passes on some thousand small answers a second,
+// or downloads at some hundred Mbit/s.
+const _linkPerCore = 300
+
+// capacity ranks instances by what they have least of.
+func (s *Settings) capacity() float64 {
+	return min(s.Cores, s.LinkMbit/_linkPerCore)
+}
+
 // bounds are the shares of all instances together.
 func (s *Settings) bounds() forward.Bounds {
 	return forward.Bounds{
--- a/site/site.go
+++ b/site/site.go
@@ -45,7 +45,7 @@
 	// only for requests of the first three of its six seconds.
 	_leaveShare = 0.4
 	// _endShare is the part of the time to stop after which the process ends.
-	_endShare = 0.95
+	_endShare = 0.9
 	// Bounds on callers until the operator's are known.
 	_headerBytes = 16 << 10
 	_bodyBytes   = 64 << 20
@@ -92,7 +92,7 @@
 	i.front = &front.Server{Names: platform.CallerNames(), Handler: i.forward, Limits: i.currentLimits}
 	i.directory.Self = directory.Member{
 		Name: s.Instance, Address: s.Callers.Listen, Zone: s.Zone, Region: s.Region,
-		Peers: s.Peers.Listen, Started: time.Now().UnixMilli(),
+		Peers: s.Peers.Listen, Started: time.Now().UnixMilli(), Capacity: s.capacity(),
 	}
 	i.follower = &follow.Follower{
 		Feed: i.client, Sink: &platform.Sink{Listener: i}, Interval: _followInterval, Log: i.Log,
@@ -313,7 +313,7 @@
 	names, most, neighbours := i.directory.Names(), i.directory.Most(), len(i.directory.Neighbours())
 	i.mu.Unlock()
 	i.forward.Update(func(k *forward.Knowledge) {
-		k.Instances, k.Most, k.Neighbours = names, max(k.Most, most), neighbours
+		k.Instances, k.Most, k.Neighbours = names, max(k.Most, most), min(neighbours, directory.MaxNamed)
 	})
 	i.Log.Info("instance known", zap.String("name", name), zap.Bool("gone", value == nil), zap.Int("instances", len(names)))
 	i.presence.wake()
