--- a/cmd/wigeonlock/entry.go
+++ b/cmd/wigeonlock/entry.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"os"
 	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/wigeonlock/wigeonlock/logs"
 	"github.com/wigeonlock/wigeonlock/site"
 )
 
@@ -42,7 +44,8 @@
 	}
 	debug.SetGCPercent(_gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMb) * _memoryShare * (1 << 20)))
-	log := newLineLogger(level)
+	log, flush := logs.New(os.Stdout, level)
+	defer flush()
 	ctx, stop := untilSignal(ctx)
 	defer stop()
 	i := site.New(s, log)
--- a/cmd/wigeonlock/main.go
+++ b/cmd/wigeonlock/main.go
@@ -75,7 +75,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         noCommand,
 		Commands: []*cli.Command{
-			serveCommand(), entryCommand(), settingsCommand(), listsCommand(), statusCommand(), standinCommand(),
+			serveCommand(), entryCommand(), explainCommand(), settingsCommand(), listsCommand(), statusCommand(), standinCommand(),
 			demoCommand(), measureCommand(), versionCommand(),
 		},
 	}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,65 @@
+package explain_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/explain"
+)
+
+const _one = `{"level":"info","time":"2026-06-15T15:35:38.100Z","msg":"worker leaving","instance":"edge-1","worker":"i-7","zone":"a"}
+{"level":"info","time":"2026-06-15T15:35:38.150Z","msg":"worker started","instance":"edge-1","worker":"i-8","zone":"a"}
+{"level":"info","time":"2026-06-15T15:35:30.000Z","msg":"worker leaving","instance":"edge-1","worker":"i-7","zone":"a"}
+   12.4 edge-1 {"level":"info","time":"2026-06-15T15:35:38.200Z","msg":"attempt failed","instance":"edge-1","request":"q1","worker":"i-7","fault":"refused","load":1.4}
+not a line
+{"level":"info","time":"2026-06-15T15:35:38.400Z","msg":"request ended","instance":"edge-1","request":"q1","reason":"noRoom","status":503,"tried":["i-7"]}
+{"level":"info","time":"2026-06-15T15:35:38.410Z","msg":"request ended","instance":"edge-1","request":"q11","status":503}
+`
+
+const _two = `{"level":"warn","time":"2026-06-15T15:35:38.300Z","msg":"store cannot be read","instance":"edge-2"}
+{"level":"warn","time":"2026-06-15T15:35:38.300Z","msg":"store cannot be read","instance":"edge-1"}
+{"cut
+`
+
+func write(t *testing.T, texts ...string) []string {
+	t.Helper()
+	var files []string
+	for i, text := range texts {
+		file := filepath.Join(t.TempDir(), string(rune('a'+i)))
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		files = append(files, file)
+	}
+	return files
+}
+
+func TestStory(t *testing.T) {
+	s, err := explain.Read("q1", write(t, _two, _one), nil)
+	require.NoError(t, err)
+	var out bytes.Buffer
+	require.NoError(t, s.Print(&out))
+	goldie.New(t).Assert(t, "story", out.Bytes())
+}
+
+func TestUnknownRequest(t *testing.T) {
+	s, err := explain.Read("none", write(t, _one), nil)
+	require.NoError(t, err)
+	var out bytes.Buffer
+	require.NoError(t, s.Print(&out))
+	assert.Equal(t, "no line about request none (1 lines could not be read)\n", out.String())
+	_, err = explain.Read("q", []string{"/does/not/exist"}, nil)
+	assert.Error(t, err)
+}
+
+func TestLongLineIsPassedOver(t *testing.T) {
+	s, err := explain.Read("q1", write(t, strings.Repeat("x", 3<<20)+"\n"+_one), nil)
+	require.NoError(t, err)
+	assert.Equal(t, 2, s.BadLines)
+	assert.Len(t, s.Decisions, 2)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
@@ -161,6 +162,10 @@
 	// until is when the request must be answered.
 	until time.Time
 	tried []string
+	// load, rank and newsAge are what the last worker was chosen by.
+	load    float64
+	rank    int
+	newsAge time.Duration
 	// arrivals and dials count the workers that it was sent to, and those that
 	// could not be reached.
 	arrivals int
@@ -292,8 +297,9 @@
 		MayWarm:  func(w *worker.Worker) bool { return s.mayWarm(now, w) },
 	}, s.know.Workers.Of(j.service))
 	if c.Worker == nil {
-		return nil, relay.NoRoom
+		return nil, reasonOf(c.Reason)
 	}
+	j.load, j.rank, j.newsAge = c.Load, c.Rank, now.Sub(c.Worker.LastNews)
 	if len(j.tried) == 0 {
 		s.budget(j.service).First(now)
 	}
@@ -301,6 +307,14 @@
 	return c.Worker, ""
 }
 
+// reasonOf tells the caller why no worker was chosen.
+func reasonOf(r placement.Reason) relay.Reason {
+	if r == placement.NoWorkers {
+		return relay.NoWorkers
+	}
+	return relay.NoRoom
+}
+
 func (s *Service) mayWarm(now time.Time, w *worker.Worker) bool {
 	if s.know.Catalog == nil {
 		return false
@@ -334,7 +348,8 @@
 	if result.Fault != exchange.None && result.Fault != exchange.Left {
 		s.Log.Info("attempt failed", zap.String("request", j.request.ID), zap.String("worker", id),
 			zap.String("address", address), zap.String("fault", string(result.Fault)),
-			zap.Bool("reused", result.Reused), zap.Duration("took", result.Took))
+			zap.Bool("reused", result.Reused), zap.Duration("tookMs", result.Took), zap.Float64("load", j.load),
+			zap.Int("rank", j.rank), zap.Duration("newsAgeMs", j.newsAge))
 	}
 }
 
@@ -396,14 +411,22 @@
 	return a
 }
 
-// log writes a line for each request that did not go well.
+// _sampled is the number of requests that went well of which one is told.
+const _sampled = 64
+
+// log writes a line for each request that did not go well, and for some of
+// the others, chosen by their ids alike on all instances.
 func (s *Service) log(j *journey, a *relay.Answer) {
-	if a.Outcome == retry.Run && len(j.tried) == 1 && a.Status < http.StatusInternalServerError {
+	well := a.Outcome == retry.Run && len(j.tried) == 1 && a.Status < http.StatusInternalServerError
+	if well && xxhash.Sum64String(j.request.ID)%_sampled != 0 {
 		return
 	}
 	s.Log.Info("request ended", zap.String("request", j.request.ID), zap.String("route", j.route.Name),
-		zap.String("service", j.service), zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
-		zap.Int("status", a.Status), zap.Strings("tried", j.tried), zap.Duration("took", time.Since(j.request.Received)))
+		zap.String("service", j.service), zap.String("object", j.request.Object),
+		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
+		zap.Strings("tried", j.tried), zap.Float64("load", j.load), zap.Int("rank", j.rank),
+		zap.Duration("newsAgeMs", j.newsAge), zap.Duration("timeLeftMs", time.Until(j.until)),
+		zap.Duration("tookMs", time.Since(j.request.Received)))
 }
 
 func countRefusal(reason relay.Reason) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,7 @@
 	HeaderTooLarge     Reason = "headerTooLarge"
 	UnknownRoute       Reason = "unknownRoute"
 	RetryBudget        Reason = "retryBudget"
+	NoWorkers          Reason = "noWorkers"
 )
 
 // Header is one header field.
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -210,19 +210,19 @@
 	assert.True(t, one.answered("/n/x", http.StatusOK, "i-1")(), "an older version does not count")
 
 	w1.say(kv, "s1", "a", "draining", 2)
-	require.Eventually(t, one.answered("/n/x", http.StatusServiceUnavailable, "noRoom"), _patience, _poll)
-	require.Eventually(t, two.answered("/n/x", http.StatusServiceUnavailable, "noRoom"), _patience, _poll)
+	require.Eventually(t, one.answered("/n/x", http.StatusServiceUnavailable, "noWorkers"), _patience, _poll)
+	require.Eventually(t, two.answered("/n/x", http.StatusServiceUnavailable, "noWorkers"), _patience, _poll)
 	before := w1.count()
-	assert.True(t, one.answered("/n/x", http.StatusServiceUnavailable, "noRoom")())
-	assert.True(t, two.answered("/n/x", http.StatusServiceUnavailable, "noRoom")())
+	assert.True(t, one.answered("/n/x", http.StatusServiceUnavailable, "noWorkers")())
+	assert.True(t, two.answered("/n/x", http.StatusServiceUnavailable, "noWorkers")())
 	assert.Equal(t, before, w1.count(), "a leaving worker gets nothing new")
 
 	kv.Write("op/evacuate/b", "{}")
 	for _, i := range instances {
-		require.Eventually(t, i.answered("/r/x", http.StatusServiceUnavailable, "noRoom"), _patience, _poll)
+		require.Eventually(t, i.answered("/r/x", http.StatusServiceUnavailable, "noWorkers"), _patience, _poll)
 	}
 	before = w2.count()
-	assert.True(t, one.answered("/r/x", http.StatusServiceUnavailable, "noRoom")())
+	assert.True(t, one.answered("/r/x", http.StatusServiceUnavailable, "noWorkers")())
 	assert.Equal(t, before, w2.count())
 	kv.Delete("op/evacuate/b")
 	for _, i := range instances {
