--- a/forward/forward.go
+++ b/forward/forward.go
@@ -162,9 +162,10 @@
 	// until is when the request must be answered.
 	until time.Time
 	tried []string
-	// load, rank and newsAge are what the last worker was chosen by.
+	// load, rank and newsAge are what the last worker was chosen by, and full is the worker that had no room.
 	load    float64
 	rank    int
+	full    string
 	newsAge time.Duration
 	// arrivals and dials count the workers that it was sent to, and those that
 	// could not be reached.
@@ -173,7 +174,7 @@
 	// unknown is set when it may have run.
 	unknown bool
 	last    exchange.Result
-	// running is an answer of a worker that failed, passed on if no other
+	// failure is the answer of a worker that failed, passed on if no other
 	// worker does better.
 	failure *relay.Answer
 }
@@ -296,10 +297,11 @@
 		Tried:    j.tried,
 		MayWarm:  func(w *worker.Worker) bool { return s.mayWarm(now, w) },
 	}, s.know.Workers.Of(j.service))
+	j.load, j.rank, j.full = c.Load, c.Rank, c.Full
 	if c.Worker == nil {
 		return nil, reasonOf(c.Reason)
 	}
-	j.load, j.rank, j.newsAge = c.Load, c.Rank, now.Sub(c.Worker.LastNews)
+	j.newsAge = now.Sub(c.Worker.LastNews)
 	if len(j.tried) == 0 {
 		s.budget(j.service).First(now)
 	}
@@ -414,10 +416,12 @@
 // _sampled is the number of requests that went well of which one is told.
 const _sampled = 64
 
-// log writes a line for each request that did not go well, and for some of
-// the others, chosen by their ids alike on all instances.
+// log writes a line for each request that did not go well or was late, and for
+// some of the others, chosen by their ids alike on all instances.
 func (s *Service) log(j *journey, a *relay.Answer) {
-	well := a.Outcome == retry.Run && len(j.tried) == 1 && a.Status < http.StatusInternalServerError
+	took := time.Since(j.request.Received)
+	late := j.route.Objective > 0 && took > j.route.Objective
+	well := a.Outcome == retry.Run && len(j.tried) == 1 && a.Status < http.StatusInternalServerError && !late
 	if well && xxhash.Sum64String(j.request.ID)%_sampled != 0 {
 		return
 	}
@@ -425,8 +429,8 @@
 		zap.String("service", j.service), zap.String("object", j.request.Object),
 		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Strings("tried", j.tried), zap.Float64("load", j.load), zap.Int("rank", j.rank),
-		zap.Duration("newsAgeMs", j.newsAge), zap.Duration("timeLeftMs", time.Until(j.until)),
-		zap.Duration("tookMs", time.Since(j.request.Received)))
+		zap.String("full", j.full), zap.Duration("newsAgeMs", j.newsAge), zap.Duration("timeLeftMs", time.Until(j.until)),
+		zap.Duration("workerMs", j.last.Took), zap.Duration("tookMs", took), zap.Bool("late", late))
 }
 
 func countRefusal(reason relay.Reason) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -86,7 +86,10 @@
 type Choice struct {
 	Worker *worker.Worker
 	Reason Reason
-	// Load is what the worker was thought to have, in requests for each slot.
+	// Full names the first place of the object if there is no room.
+	Full string
+	// Load is what the worker, or the full one, was thought to have, in requests
+	// for each slot.
 	Load float64
 	// Rank counts the workers that were passed over; 0 is the best.
 	Rank int
@@ -181,8 +184,8 @@
 		}
 		load := s.load(now, w)
 		if load >= _fullLoad || now.Before(s.shedUntil) {
-			if best.Worker == nil {
-				best.Reason = NoRoom
+			if best.Worker == nil && best.Full == "" {
+				best.Reason, best.Full, best.Load = NoRoom, w.ID, load
 			}
 			continue
 		}
