Slow and grey workers cost more in placing, by what exchanges tell of them

Cause: a worker that runs five times slower, or turns requests away with room to spare, kept its objects: its own word on its load is good. Change: the time of warm runs against others' and the share of failures weigh in the choice between an object's two places, and fade within five seconds, so that no probe is needed. A refusal with room to spare no longer counts as full.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -166,6 +166,7 @@
 	load    float64
 	rank    int
 	full    string
+	warm    bool
 	newsAge time.Duration
 	// arrivals and dials count the workers that it was sent to, and those that
 	// could not be reached.
@@ -297,7 +298,7 @@
 		Tried:    j.tried,
 		MayWarm:  func(w *worker.Worker) bool { return s.mayWarm(now, w) },
 	}, s.know.Workers.Of(j.service))
-	j.load, j.rank, j.full = c.Load, c.Rank, c.Full
+	j.load, j.rank, j.full, j.warm = c.Load, c.Rank, c.Full, c.Warm
 	if c.Worker == nil {
 		return nil, reasonOf(c.Reason)
 	}
@@ -341,6 +342,7 @@
 		j.unknown = true
 	}
 	report := reportOf(result)
+	report.Load, report.Warm = j.load, j.warm
 	if report.Outcome == placement.Moved || report.Outcome == placement.Unreachable {
 		s.Exchange.Drop(address)
 	}
--- /dev/null
+++ b/placement/health_test.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestSlowWorkerGetsLess has a worker run five times slower than the others,
+// while its word on its load says that it has room.
+func TestSlowWorkerGetsLess(t *testing.T) {
+	h := &health{}
+	for n := range 10 {
+		h.ran(_start.Add(time.Duration(n)*100*time.Millisecond), 5)
+	}
+	now := _start.Add(time.Second)
+	assert.Greater(t, h.cost(now), 3.0)
+	assert.InDelta(t, 1, h.cost(now.Add(20*time.Second)), 0.1, "it is tried again")
+
+	even := &health{}
+	for n := range 10 {
+		even.ran(_start.Add(time.Duration(n)*100*time.Millisecond), 1.5)
+	}
+	assert.InDelta(t, 1, even.cost(now), 0.01, "workers differ a little")
+}
+
+// TestGreyWorkerGetsLess has a worker fail half of its requests while its
+// health check is good.
+func TestGreyWorkerGetsLess(t *testing.T) {
+	h := &health{}
+	for n := range 20 {
+		h.failed(_start, n%2 == 0)
+	}
+	assert.Greater(t, h.cost(_start), 2.5)
+	for range 20 {
+		h.failed(_start, false)
+	}
+	assert.Less(t, h.cost(_start), 1.1)
+	assert.InDelta(t, 1, (&health{}).cost(_start), 0.01, "nothing known")
+}
+
+// TestSecondPlaceTakesOverFromGreyWorker replays a worker that turns requests
+// away although it has room: once the second place is warm it gets them.
+func TestSecondPlaceTakesOverFromGreyWorker(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 4}, 4)
+	p := newPlacer()
+	first := p.Choose(_start, requestFor("x"), workers).Worker
+	got := map[string]int{}
+	for n := range 40 {
+		now := _start.Add(time.Duration(n) * 50 * time.Millisecond)
+		r := requestFor("x")
+		w := p.Choose(now, r, workers).Worker
+		got[w.ID]++
+		p.Begin(now, "x", w)
+		if w != first {
+			p.End(now, w, Report{Outcome: Answered, Told: true, Took: 100 * time.Millisecond})
+			continue
+		}
+		p.End(now, w, Report{Outcome: Shed, Told: true, Running: 1})
+		r.Tried = []string{w.ID}
+		second := p.Choose(now, r, workers).Worker
+		p.Begin(now, "x", second)
+		p.End(now, second, Report{Outcome: Answered, Told: true, Took: 100 * time.Millisecond})
+	}
+	assert.Less(t, got[first.ID], 10, "%v", got)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,8 @@
 	Load float64
 	// Rank counts the workers that were passed over; 0 is the best.
 	Rank int
+	// Warm is set if the object ran there lately.
+	Warm bool
 }
 
 // Outcome tells how an exchange with a worker ended.
@@ -119,8 +121,11 @@
 	Told    bool
 	Running int
 	Waiting int
-	// Took is the time of the exchange.
+	// Took is the time of the exchange, Load and Warm what the worker was chosen
+	// by.
 	Took time.Duration
+	Load float64
+	Warm bool
 }
 
 // Placer chooses workers. It is not safe for concurrent use.
@@ -155,6 +160,7 @@
 	// entry stood for longer than that of a worker that ended.
 	unreachableAt time.Time
 	movedAt       time.Time
+	health        health
 }
 
 type ranked struct {
@@ -193,15 +199,17 @@
 			places--
 			continue
 		}
+		warm := p.warm.holds(now, object, w.ID)
 		c := max(load, 1)
 		if places > 1 {
 			c += _nextPlace
-			if !p.warm.holds(now, object, w.ID) {
+			if !warm {
 				c += _coldRun
 			}
 		}
+		c *= s.health.cost(now)
 		if c < cost {
-			best, cost = Choice{Worker: w, Load: load, Rank: i}, c
+			best, cost = Choice{Worker: w, Load: load, Rank: i, Warm: warm}, c
 		}
 	}
 	return best
@@ -317,9 +325,7 @@
 func (p *Placer) End(now time.Time, w *worker.Worker, r Report) {
 	s := p.state(w.ID)
 	s.inFlight--
-	if r.Outcome == Answered && p.RegionOf(w.Zone) == p.Region {
-		p.share(w.Service).ran(r.Took)
-	}
+	p.learn(now, s, w, r)
 	if r.Told {
 		s.told, s.toldInFlight, s.toldAt = r.Running+r.Waiting, s.inFlight, now
 	}
@@ -327,7 +333,9 @@
 	case Answered:
 		s.faults = 0
 	case Shed:
-		s.shedUntil = now.Add(_shedTime)
+		if !r.Told || r.Running+r.Waiting >= w.Slots {
+			s.shedUntil = now.Add(_shedTime)
+		}
 	case Failed, Unreachable:
 		if r.Outcome == Unreachable {
 			s.unreachableAt = now
@@ -343,6 +351,28 @@
 	}
 }
 
+// learn takes what an exchange tells of the time of runs and of the health of
+// the worker.
+func (p *Placer) learn(now time.Time, s *state, w *worker.Worker, r Report) {
+	share := p.share(w.Service)
+	switch r.Outcome {
+	case Answered:
+		if p.RegionOf(w.Zone) == p.Region {
+			share.ran(r.Took)
+		}
+		if r.Warm && share.runs >= _fewestRuns {
+			s.health.ran(now, r.Took.Seconds()/(share.run.Seconds()*max(r.Load, 1)))
+		}
+		s.health.failed(now, false)
+	case Errored, Failed:
+		s.health.failed(now, true)
+	case Shed:
+		if r.Told && r.Running+r.Waiting < w.Slots {
+			s.health.failed(now, true)
+		}
+	}
+}
+
 // Forget drops what is known of workers that are gone.
 func (p *Placer) Forget(gone func(id string) bool) {
 	for id, s := range p.known {
--- a/store/feed.go
+++ b/store/feed.go
@@ -44,14 +44,14 @@
 	Changes(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
 
-// Registry keeps one key alive under a lease.
+// Registry writes keys, alone or alive under a lease.
 type Registry interface {
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Renew prolongs a lease, or returns ErrNotFound.
 	Renew(ctx context.Context, lease Lease) error
-	// Put writes a key bound to a lease, or returns ErrNotFound without such a
-	// lease.
+	// Put writes a key. If a lease is given the key is bound to it; without such
+	// a lease it returns ErrNotFound.
 	Put(ctx context.Context, key string, value []byte, lease Lease) error
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease Lease) error
