--- a/forward/forward.go
+++ b/forward/forward.go
@@ -432,7 +432,7 @@
 		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Strings("tried", j.tried), zap.Float64("load", j.load), zap.Int("rank", j.rank),
 		zap.String("full", j.full), zap.Duration("newsAgeMs", j.newsAge), zap.Duration("timeLeftMs", time.Until(j.until)),
-		zap.Duration("workerMs", j.last.Took), zap.Duration("tookMs", took), zap.Bool("late", late))
+		zap.Bool("warm", j.warm), zap.Duration("workerMs", j.last.Took), zap.Duration("tookMs", took), zap.Bool("late", late))
 }
 
 func countRefusal(reason relay.Reason) {
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -13,6 +13,7 @@
 package logs
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	// _linesPerSecond is the budget of lines below warnings: a line costs some
 	// ten microseconds, so that this is about half a percent of a core.
 	_linesPerSecond = 400
+	// _pipeBytes is what a pipe takes in one piece: a longer write may be mixed
+	// with those of others.
+	_pipeBytes = 4096
 	// _stopTime bounds the wait for the writer at the end.
 	_stopTime = 200 * time.Millisecond
 )
@@ -35,7 +39,6 @@
 var (
 	_queueFull  = metrics.NewCounter(`wigeonlock_log_lines_dropped_total{reason="queueFull"}`)
 	_overBudget = metrics.NewCounter(`wigeonlock_log_lines_dropped_total{reason="overBudget"}`)
-	_written    = metrics.NewCounter("wigeonlock_log_lines_total")
 )
 
 // New returns a logger that writes to w, and a function that writes what
@@ -181,14 +184,32 @@
 	if len(lines) == 0 {
 		return false
 	}
-	_, _ = q.w.Write(lines)
-	_written.Inc()
+	for len(lines) > 0 {
+		n := pieceOf(lines)
+		_, _ = q.w.Write(lines[:n])
+		lines = lines[n:]
+	}
 	if dropped > 0 {
 		log.Warn("lines were dropped", zap.Int("lines", dropped), zap.String("reason", "queueFull"))
 	}
 	return true
 }
 
+// pieceOf returns the length of the whole lines that a pipe takes at once, or of
+// the first line if that is longer.
+func pieceOf(lines []byte) int {
+	if len(lines) <= _pipeBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:_pipeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // stop writes what waits, if the writer takes it soon.
 func (q *queue) stop() {
 	q.mu.Lock()
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -80,3 +80,37 @@
 	assert.Contains(t, g.text(), "matters")
 	assert.Less(t, strings.Count(g.text(), "much"), 1500)
 }
+
+// pieces is a writer that notes what it gets at once.
+type pieces struct {
+	mu   sync.Mutex
+	list []string
+	hold chan struct{}
+}
+
+func (p *pieces) Write(b []byte) (int, error) {
+	<-p.hold
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = append(p.list, string(b))
+	return len(b), nil
+}
+
+// TestLinesAreNotTorn has many lines wait: each piece that is written must be
+// whole lines that a pipe takes at once.
+func TestLinesAreNotTorn(t *testing.T) {
+	p := &pieces{hold: make(chan struct{})}
+	log, stop := logs.New(p, zapcore.InfoLevel)
+	for n := range 200 {
+		log.Info("decision", zap.Int("n", n), zap.String("text", strings.Repeat("x", 200)))
+	}
+	close(p.hold)
+	stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.NotEmpty(t, p.list)
+	for _, piece := range p.list {
+		assert.LessOrEqual(t, len(piece), 4096)
+		assert.True(t, strings.HasPrefix(piece, "{") && strings.HasSuffix(piece, "}\n"))
+	}
+}
