A neighbour gets only the news that it has not read

Change: a neighbour names the revision up to which it has read; signs of life are not sent. Deletions remembered are bounded.

--- a/follow/copy.go
+++ b/follow/copy.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonlock/wigeonlock/store"
@@ -23,13 +24,21 @@
 	Changes  []Change
 }
 
+// _maxRemoved bounds the deletions that are remembered.
+const _maxRemoved = 8192
+
 // Copy holds the keys under the prefix as last read, whoever read them. News
 // counts by the revision of its key, never by its arrival. It is not safe for
 // concurrent use.
 type Copy struct {
 	items map[string]store.Item
-	// removed holds the revisions at which keys were deleted.
-	removed  map[string]store.Revision
+	// removed holds the revisions at which keys were deleted, and news those at
+	// which keys last told more than a sign of life.
+	removed map[string]store.Revision
+	news    map[string]store.Revision
+	// first is the revision of the first whole batch: what changed since is
+	// known.
+	first    store.Revision
 	revision store.Revision
 	readAt   time.Time
 }
@@ -53,12 +62,42 @@
 	return b
 }
 
+// Since returns what is news to someone who has read up to a revision: the
+// changes if they are known, or else all keys.
+func (c *Copy) Since(after store.Revision) Batch {
+	if after == 0 || c.first == 0 || after < c.first {
+		return c.All()
+	}
+	b := Batch{Revision: c.revision, At: c.readAt}
+	for key, revision := range c.news {
+		if item, ok := c.items[key]; ok && revision > after {
+			b.Changes = append(b.Changes, Change{Change: store.Change{Item: item}})
+		}
+	}
+	for key, revision := range c.removed {
+		if revision > after {
+			gone := Change{}
+			gone.Key, gone.Revision, gone.Deleted = key, revision, true
+			b.Changes = append(b.Changes, gone)
+		}
+	}
+	return b
+}
+
+// Mark notes that a key told more than a sign of life.
+func (c *Copy) Mark(change Change) {
+	if !change.Deleted {
+		c.news[change.Key] = change.Revision
+	}
+}
+
 // Apply takes a batch and returns the changes in it that are news. lapse is
 // until when a key that is missing from a whole batch may return, or zero.
 func (c *Copy) Apply(b Batch, lapse time.Time) []Change {
 	if c.items == nil {
 		c.items = make(map[string]store.Item)
 		c.removed = make(map[string]store.Revision)
+		c.news = make(map[string]store.Revision)
 	}
 	var news []Change
 	for _, change := range b.Changes {
@@ -68,7 +107,11 @@
 	}
 	if b.Whole {
 		news = append(news, c.missing(b, lapse)...)
+		if c.first == 0 {
+			c.first = b.Revision
+		}
 	}
+	c.forget()
 	c.revision = max(c.revision, b.Revision)
 	if b.At.After(c.readAt) {
 		c.readAt = b.At
@@ -76,6 +119,25 @@
 	return news
 }
 
+// forget drops the older half of the deletions when there are too many. Who has
+// read less than that gets all keys.
+func (c *Copy) forget() {
+	if len(c.removed) <= _maxRemoved {
+		return
+	}
+	revisions := make([]store.Revision, 0, len(c.removed))
+	for _, r := range c.removed {
+		revisions = append(revisions, r)
+	}
+	slices.Sort(revisions)
+	c.first = max(c.first, revisions[len(revisions)/2])
+	for key, r := range c.removed {
+		if r <= c.first {
+			delete(c.removed, key)
+		}
+	}
+}
+
 func (c *Copy) apply(change Change) bool {
 	known, ok := c.items[change.Key]
 	if ok && change.Revision <= known.Revision || change.Revision <= c.removed[change.Key] {
@@ -83,6 +145,7 @@
 	}
 	if change.Deleted {
 		delete(c.items, change.Key)
+		delete(c.news, change.Key)
 		c.removed[change.Key] = change.Revision
 		return ok
 	}
@@ -105,6 +168,7 @@
 		gone := Change{Lapse: lapse}
 		gone.Key, gone.Revision, gone.Deleted = key, b.Revision, true
 		delete(c.items, key)
+		delete(c.news, key)
 		c.removed[key] = b.Revision
 		news = append(news, gone)
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -72,9 +72,9 @@
 
 // Peers connects to neighbours.
 type Peers interface {
-	// Follow hands on what a neighbour reads until ctx ends or the connection
-	// does.
-	Follow(ctx context.Context, n Neighbour, deliver func(Batch)) error
+	// Follow hands on what a neighbour has read since a revision, and what it
+	// reads until ctx ends or the connection does.
+	Follow(ctx context.Context, n Neighbour, after store.Revision, deliver func(Batch)) error
 }
 
 // Follower follows a prefix. The exported fields are set before Run.
@@ -180,7 +180,10 @@
 
 // follow takes what a neighbour reads until the connection ends.
 func (f *Follower) follow(ctx context.Context, n Neighbour) {
-	err := f.Peers.Follow(ctx, n, func(b Batch) { f.take(time.Now(), b, time.Time{}) })
+	f.mu.Lock()
+	after := f.copy.Revision()
+	f.mu.Unlock()
+	err := f.Peers.Follow(ctx, n, after, func(b Batch) { f.take(time.Now(), b, time.Time{}) })
 	if ctx.Err() != nil {
 		return
 	}
@@ -297,6 +300,7 @@
 			continue
 		}
 		if f.Sink.Put(now, c.Item) {
+			f.copy.Mark(c)
 			passed.Changes = append(passed.Changes, c)
 		}
 	}
@@ -312,9 +316,9 @@
 	}
 }
 
-// Listen returns all keys and a channel with what is read from then on. It
-// closes when the listener does not keep up; end ends it.
-func (f *Follower) Listen() (all Batch, batches <-chan Batch, end func()) {
+// Listen returns what was read since a revision and a channel with what is read
+// from then on. It closes when the listener does not keep up; end ends it.
+func (f *Follower) Listen(after store.Revision) (missed Batch, batches <-chan Batch, end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.audience == nil {
@@ -322,7 +326,7 @@
 	}
 	listener := make(chan Batch, _queue)
 	f.audience[listener] = struct{}{}
-	return f.copy.All(), listener, func() {
+	return f.copy.Since(after), listener, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.audience, listener)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -64,6 +65,49 @@
 	assert.Len(t, c.All().Changes, 1)
 }
 
+// TestOnlyMissedNewsIsSent connects a neighbour that has read nearly all: signs
+// of life are not sent again.
+func TestOnlyMissedNewsIsSent(t *testing.T) {
+	c := &follow.Copy{}
+	for _, change := range c.Apply(follow.Batch{Whole: true, Revision: 10, Changes: []follow.Change{
+		put("a", 5), put("b", 6), put("d", 7),
+	}}, time.Time{}) {
+		c.Mark(change)
+	}
+	c.Apply(follow.Batch{Revision: 30, Changes: []follow.Change{put("a", 25), deleted("d", 26)}}, time.Time{})
+	for _, change := range c.Apply(follow.Batch{Revision: 40, Changes: []follow.Change{put("c", 35)}}, time.Time{}) {
+		c.Mark(change)
+	}
+	missed := c.Since(20)
+	assert.False(t, missed.Whole)
+	assert.ElementsMatch(t, []string{"c", "-d"}, keys(missed.Changes), "a only told that it lives")
+	assert.EqualValues(t, 40, missed.Revision)
+	assert.Empty(t, c.Since(40).Changes)
+	assert.True(t, c.Since(0).Whole, "who has read nothing gets all")
+	assert.True(t, c.Since(9).Whole, "so does who has read less than was known at first")
+
+	other := &follow.Copy{}
+	other.Apply(follow.Batch{Whole: true, Revision: 20, Changes: []follow.Change{put("a", 5), put("b", 6), put("d", 7)}}, time.Time{})
+	other.Apply(missed, time.Time{})
+	assert.Len(t, other.All().Changes, 3)
+}
+
+// TestDeletionsAreForgotten has keys come and go for long: what is remembered of
+// them is bounded, and who missed more gets all keys.
+func TestDeletionsAreForgotten(t *testing.T) {
+	c := &follow.Copy{}
+	c.Apply(follow.Batch{Whole: true, Revision: 1, Changes: []follow.Change{put("stays", 1)}}, time.Time{})
+	const n = 20_000
+	for i := range n {
+		key, revision := fmt.Sprint("k", i), store.Revision(2*i+2)
+		c.Apply(follow.Batch{Revision: revision + 1, Changes: []follow.Change{put(key, revision), deleted(key, revision+1)}}, time.Time{})
+	}
+	assert.True(t, c.Since(2).Whole)
+	late := c.Since(2*n - 20)
+	assert.False(t, late.Whole)
+	assert.Len(t, late.Changes, 11)
+}
+
 func TestOrderPassesSilentReadersOver(t *testing.T) {
 	now := time.Unix(1000, 0)
 	all := []follow.Neighbour{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
@@ -270,14 +314,14 @@
 	follows int
 }
 
-func (p *peers) Follow(ctx context.Context, n follow.Neighbour, deliver func(follow.Batch)) error {
+func (p *peers) Follow(ctx context.Context, n follow.Neighbour, after store.Revision, deliver func(follow.Batch)) error {
 	p.mu.Lock()
 	source := p.by[n.Name]
 	p.follows++
 	p.mu.Unlock()
-	all, batches, end := source.Listen()
+	missed, batches, end := source.Listen(after)
 	defer end()
-	deliver(all)
+	deliver(missed)
 	for {
 		select {
 		case <-ctx.Done():
@@ -344,7 +388,7 @@
 func TestListenerThatDoesNotKeepUpStartsAnew(t *testing.T) {
 	f, s := &feed{}, newSink()
 	follower := &follow.Follower{Feed: f, Sink: s, Interval: time.Millisecond}
-	_, batches, end := follower.Listen()
+	_, batches, end := follower.Listen(0)
 	defer end()
 	run(t, follower)
 	closed := false
--- a/news/news.go
+++ b/news/news.go
@@ -1,8 +1,9 @@
 // Package news passes what an instance reads from the store on to its
 // neighbours over gRPC.
 //
-// A neighbour gets all keys at first, then each reading of the store with its
-// age, also one without changes, so that it knows that the reader still reads.
+// A neighbour gets what it has not read at first, then each reading of the store
+// with its age, also one without changes, so that it knows that the reader still
+// reads.
 //
 // # Usage
 //
@@ -44,7 +45,7 @@
 
 // Source hands out what is read.
 type Source interface {
-	Listen() (all follow.Batch, batches <-chan follow.Batch, end func())
+	Listen(after store.Revision) (missed follow.Batch, batches <-chan follow.Batch, end func())
 }
 
 // Server hands out news to neighbours.
@@ -81,11 +82,11 @@
 	}
 }
 
-// Follow sends all keys and then each reading.
-func (s *Server) Follow(_ *wire.FollowRequest, stream wire.News_FollowServer) error {
-	all, batches, end := s.Source.Listen()
+// Follow sends what the neighbour has not read and then each reading.
+func (s *Server) Follow(r *wire.FollowRequest, stream wire.News_FollowServer) error {
+	missed, batches, end := s.Source.Listen(store.Revision(r.GetAfter()))
 	defer end()
-	if err := stream.Send(encode(all)); err != nil {
+	if err := stream.Send(encode(missed)); err != nil {
 		return err
 	}
 	for {
@@ -111,8 +112,11 @@
 
 var _ follow.Peers = (*Peers)(nil)
 
-// Follow hands on what a neighbour reads until the connection ends.
-func (p *Peers) Follow(ctx context.Context, n follow.Neighbour, deliver func(follow.Batch)) error {
+// Follow hands on what a neighbour has read since a revision, and what it reads
+// until the connection ends.
+func (p *Peers) Follow(
+	ctx context.Context, n follow.Neighbour, after store.Revision, deliver func(follow.Batch),
+) error {
 	conn, err := grpc.NewClient(
 		"passthrough:///"+n.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -123,7 +127,7 @@
 		return errors.Wrap(err, "connect")
 	}
 	defer func() { _ = conn.Close() }()
-	stream, err := wire.NewNewsClient(conn).Follow(ctx, &wire.FollowRequest{Instance: p.Instance})
+	stream, err := wire.NewNewsClient(conn).Follow(ctx, &wire.FollowRequest{Instance: p.Instance, After: uint64(after)})
 	if err != nil {
 		return errors.Wrap(err, "follow")
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -26,6 +26,14 @@
 // be news: what it says is as old as its way here.
 const _coldSlack = 500 * time.Millisecond
 
+const (
+	// _maxRemoved is the number of removals above which old ones are forgotten,
+	// and _longAgo how many revisions old they are then: some minutes of signs of
+	// life of a thousand workers.
+	_maxRemoved = 4096
+	_longAgo    = 200_000
+)
+
 // Entry is what a worker says of itself.
 type Entry struct {
 	// ID names one start of a worker; a worker may start again under its ID.
@@ -189,11 +197,25 @@
 	if revision <= w.Revision {
 		return
 	}
+	r.forget(revision)
 	r.removed[id] = removal{revision: revision, born: w.Born, beat: w.Beat, leaving: w.Leaving}
 	r.drop(w)
 	r.tell(w, "gone")
 }
 
+// forget drops removals from long ago when there are many: their workers do not
+// come back.
+func (r *Registry) forget(now store.Revision) {
+	if len(r.removed) < _maxRemoved {
+		return
+	}
+	for id, last := range r.removed {
+		if last.revision+_longAgo < now {
+			delete(r.removed, id)
+		}
+	}
+}
+
 // Missing applies that an entry went with an outage of the store. The worker
 // counts as gone unless the entry returns until lapse.
 func (r *Registry) Missing(id string, revision store.Revision, lapse time.Time) {
