--- a/cmd/wigeonlock/entry.go
+++ b/cmd/wigeonlock/entry.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -34,6 +36,10 @@
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
+	// A hangup that comes during the start must not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := site.Load(c.String("settings"))
 	if err != nil {
 		return err
@@ -49,7 +55,7 @@
 	ctx, stop := untilSignal(ctx)
 	defer stop()
 	i := site.New(s, log)
-	go i.Reload(ctx, c.String("settings"))
+	go i.Reload(ctx, c.String("settings"), hangups)
 	if err := i.Run(ctx); err != nil {
 		log.Error("instance failed", zap.Error(err))
 		return err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -162,7 +162,8 @@
 	// until is when the request must be answered.
 	until time.Time
 	tried []string
-	// load, rank and newsAge are what the last worker was chosen by, and full is the worker that had no room.
+	// load, rank, warm and newsAge are what the last worker was chosen by, and
+	// full is the worker that had no room.
 	load    float64
 	rank    int
 	full    string
@@ -270,13 +271,14 @@
 	return ok
 }
 
+// budget returns a service's part of the shared retries, by the bounds in force.
 func (s *Service) budget(service string) *retry.Allowance {
 	b := s.budgets[service]
 	if b == nil {
-		bounds := s.know.Bounds
-		b = &retry.Allowance{Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow}
+		b = &retry.Allowance{Window: s.know.Bounds.RetryWindow}
 		s.budgets[service] = b
 	}
+	b.Ratio, b.Extra = s.know.Bounds.RetryRatio, s.know.Bounds.RetryExtra
 	return b
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -171,6 +171,18 @@
 	assert.LessOrEqual(t, float64(again), 0.2*n+58)
 }
 
+// TestBoundsChangeWhileRunning reloads the shared bounds.
+func TestBoundsChangeWhileRunning(t *testing.T) {
+	e := &exchanger{results: []exchange.Result{ran(500)}}
+	s := newService(t, e, 4)
+	s.Handle(context.Background(), request("/read/x"))
+	before := len(e.sent)
+	assert.Greater(t, before, 1)
+	s.Update(func(k *forward.Knowledge) { k.Bounds.RetryRatio, k.Bounds.RetryExtra = 0, 0 })
+	s.Handle(context.Background(), request("/read/x"))
+	assert.Len(t, e.sent, before+1, "nothing is sent again")
+}
+
 func TestClosedZoneAndHomes(t *testing.T) {
 	e := &exchanger{results: []exchange.Result{ran(200)}}
 	s := newService(t, e, 4)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -262,6 +262,25 @@
 	<-finished
 }
 
+// TestCallerAsksToClose ends the connection after the answer, on request and
+// with a caller of the older protocol.
+func TestCallerAsksToClose(t *testing.T) {
+	_, address := start(t, &handler{}, _limits)
+	for _, request := range []string{
+		"GET /c HTTP/1.1\r\nHost: h\r\nId: x\r\nConnection: close\r\n\r\n",
+		"GET /c HTTP/1.0\r\nHost: h\r\nId: x\r\n\r\n",
+	} {
+		c, r := dial(t, address)
+		_, err := io.WriteString(c, request)
+		require.NoError(t, err)
+		head, body := read(t, r)
+		assert.Equal(t, "/c:", body)
+		assert.True(t, head.closes)
+		_, err = r.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	}
+}
+
 func TestChunkedBodyAndExpect(t *testing.T) {
 	_, address := start(t, &handler{}, _limits)
 	c, r := dial(t, address)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -154,8 +154,10 @@
 	Received time.Time
 	// HasLength is set when the caller gave the length of the body.
 	HasLength bool
-	Header    []Header
-	Body      *Body
+	// Last is set when the caller asks to end the connection after the answer.
+	Last   bool
+	Header []Header
+	Body   *Body
 	// FromZone is the zone of the first entry instance.
 	FromZone string
 	// Tried names the workers of the own zone that were tried already.
--- a/site/reload.go
+++ b/site/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,13 +14,10 @@
 // without a signal.
 const _reloadInterval = 2 * time.Second
 
-// Reload reads the settings again when SIGHUP comes or the file changes, until
+// Reload reads the settings again when a hangup comes or the file changes, until
 // ctx ends. Settings with findings are left alone. The bounds shared with other
 // instances change at once; addresses change with the next start.
-func (i *Site) Reload(ctx context.Context, file string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (i *Site) Reload(ctx context.Context, file string, hangups <-chan os.Signal) {
 	tick := time.NewTicker(_reloadInterval)
 	defer tick.Stop()
 	modified := modifiedAt(file)
--- /dev/null
+++ b/site/reload_test.go
@@ -0,0 +1,46 @@
+package site_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/wigeonlock/wigeonlock/site"
+)
+
+// TestReload changes the settings with a signal and without; a file with
+// findings changes nothing and is logged.
+func TestReload(t *testing.T) {
+	const good = `{"instance":"e","region":"r","zone":"a","zones":[{"name":"a","region":"r"}],
+"callers":{"listen":"127.0.0.1:1"},"readiness":{"listen":"127.0.0.1:2"},"directory":{"listen":"127.0.0.1:3"},
+"peers":{"listen":"127.0.0.1:4"},"store":{"address":"127.0.0.1:5"}}`
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	require.NoError(t, os.WriteFile(file, []byte(good), 0o600))
+	s, err := site.Load(file)
+	require.NoError(t, err)
+	core, lines := observer.New(zapcore.InfoLevel)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	go site.New(s, zap.New(core)).Reload(ctx, file, hangups)
+
+	hangups <- syscall.SIGHUP
+	require.Eventually(t, func() bool { return lines.FilterMessage("settings reloaded").Len() == 1 }, _patience, _poll)
+
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(good, `"a"`, `1`, 1)), 0o600))
+	hangups <- syscall.SIGHUP
+	require.Eventually(t, func() bool { return lines.FilterMessage("settings were not reloaded").Len() >= 1 }, _patience, _poll)
+
+	require.NoError(t, os.WriteFile(file, []byte(good), 0o600))
+	require.NoError(t, os.Chtimes(file, time.Now(), time.Now().Add(time.Hour)))
+	require.Eventually(t, func() bool { return lines.FilterMessage("settings reloaded").Len() >= 2 }, _patience, _poll)
+}
