Read once more: one hash a request, the library's Contains, fields that nothing read removed

placement hashed the object twice for each request; placement, directory and catalog each searched lists by a loop of their own; Registry.IDs, FirstSeen and two header names had no reader.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -15,6 +15,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -85,15 +86,7 @@
 
 // MayServe reports whether a region may serve the route.
 func (r *Route) MayServe(region string) bool {
-	if len(r.Homes) == 0 {
-		return true
-	}
-	for _, home := range r.Homes {
-		if home == region {
-			return true
-		}
-	}
-	return false
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
 // Service is what the operator says of a service.
@@ -171,10 +164,8 @@
 	}
 	var common []string
 	for _, a := range known {
-		for _, b := range more {
-			if a == b {
-				common = append(common, a)
-			}
+		if slices.Contains(more, a) {
+			common = append(common, a)
 		}
 	}
 	if common == nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,6 +12,7 @@
 package directory
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -135,7 +136,7 @@
 	}
 	var addresses []string
 	for _, r := range d.regions() {
-		if len(homes) == 0 || contains(homes, r) {
+		if len(homes) == 0 || slices.Contains(homes, r) {
 			addresses = append(addresses, d.named(r)...)
 		}
 	}
@@ -146,7 +147,7 @@
 func (d *Directory) regions() []string {
 	var regions []string
 	for _, m := range d.serving() {
-		if !contains(regions, m.Region) {
+		if !slices.Contains(regions, m.Region) {
 			regions = append(regions, m.Region)
 		}
 	}
@@ -214,12 +215,3 @@
 	sort.Strings(addresses)
 	return addresses
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -61,10 +61,6 @@
 	NotRun string
 	// Load is running, waiting and slots, separated by commas.
 	Load string
-	// Cold is for how many milliseconds the worker stays cold.
-	Cold string
-	// Object names what a request concerns.
-	Object string
 }
 
 // Target is a worker to send to.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -21,7 +21,7 @@
 )
 
 var _names = exchange.Names{
-	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load", Object: "Object",
+	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load",
 }
 
 // worker answers each request on a connection with the bytes that script
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -22,6 +22,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -171,18 +172,18 @@
 
 // Choose returns the worker for a request.
 func (p *Placer) Choose(now time.Time, r Request, workers []*worker.Worker) Choice {
-	p.rank(now, r, workers)
+	object := xxhash.Sum64String(r.Object)
+	p.rank(now, r, object, workers)
 	if len(p.ranking) == 0 {
 		return Choice{Reason: NoWorkers}
 	}
-	object := xxhash.Sum64String(r.Object)
 	best := Choice{Reason: AllTried}
 	cost := math.Inf(1)
 	places := 0
 	for i, candidate := range p.ranking {
 		w := candidate.w
 		s := p.state(w.ID)
-		if contains(r.Tried, w.ID) || p.avoided(now, w, s) {
+		if slices.Contains(r.Tried, w.ID) || p.avoided(now, w, s) {
 			continue
 		}
 		if places++; places > _places {
@@ -217,9 +218,8 @@
 
 // rank orders the workers that may serve a request, best first. The objects
 // that stay at home have the workers of the own region first, the others last.
-func (p *Placer) rank(now time.Time, r Request, workers []*worker.Worker) {
+func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) {
 	p.ranking = p.ranking[:0]
-	object := xxhash.Sum64String(r.Object)
 	own, all := 0, 0
 	for _, w := range workers {
 		region := p.RegionOf(w.Zone)
@@ -381,12 +381,3 @@
 		}
 	}
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -56,8 +56,6 @@
 	Entry
 	// Revision is the one of the last news.
 	Revision store.Revision
-	// FirstSeen is when this start of the worker was first seen.
-	FirstSeen time.Time
 	// LastNews is when news of it last came.
 	LastNews time.Time
 	// ColdUntil is when the worker is warm.
@@ -156,7 +154,7 @@
 	if old != nil {
 		r.drop(old)
 	}
-	w := &Worker{Entry: e, Revision: revision, FirstSeen: now, LastNews: now, ColdUntil: now.Add(e.ColdLeft)}
+	w := &Worker{Entry: e, Revision: revision, LastNews: now, ColdUntil: now.Add(e.ColdLeft)}
 	r.byID[e.ID] = w
 	known := r.services[e.Service]
 	list := make([]*Worker, 0, len(known)+1)
@@ -259,16 +257,6 @@
 	}
 }
 
-// IDs returns the names of all workers.
-func (r *Registry) IDs() []string {
-	ids := make([]string, 0, len(r.byID))
-	for id := range r.byID {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 func (r *Registry) drop(w *Worker) {
 	w.Gone = true
 	delete(r.byID, w.ID)
