A worker's ID and address are read under the lock

Cause of the race in gateway.TestLifecycle: forward.attempt read the chosen worker's ID and address while worker.Registry.update wrote the entry under the service's lock. chooseWorker now returns a copy.

forward.TestEntriesChangeWhileRequestsRun: the race detector reports it before, nothing after.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -244,11 +244,11 @@
 // request must not be retried.
 func (s *Service) forward(ctx context.Context, rs *requestState) *relay.Answer {
 	for {
-		w, reason := s.chooseWorker(rs)
-		if w == nil {
+		target, reason := s.chooseWorker(rs)
+		if reason != "" {
 			return s.giveUp(rs, reason, _noWorker)
 		}
-		s.attempt(ctx, rs, w)
+		s.attempt(ctx, rs, target)
 		if done := s.finalAnswer(rs); done != nil {
 			return done
 		}
@@ -315,8 +315,9 @@
 }
 
 // chooseWorker chooses a worker and counts the request as in flight to it. If there
-// is no worker, chooseWorker returns the reason.
-func (s *Service) chooseWorker(rs *requestState) (*worker.Worker, relay.Reason) {
+// is no worker, chooseWorker returns the reason. The target is a copy: the worker's
+// entry changes under the lock while the request is running.
+func (s *Service) chooseWorker(rs *requestState) (exchange.Target, relay.Reason) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -337,14 +338,14 @@
 	c := s.placer.Choose(now, request, s.state.Workers.ByService(rs.service))
 	rs.choice = c
 	if c.Worker == nil {
-		return nil, reasonOf(c.Reason)
+		return exchange.Target{}, reasonOf(c.Reason)
 	}
 	rs.updateAge = now.Sub(c.Worker.LastUpdate)
 	if len(rs.tried) == 0 {
 		s.budget(rs.service).RecordFirst(now)
 	}
 	s.placer.Begin(now, request, c.Worker)
-	return c.Worker, ""
+	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address}, ""
 }
 
 // reasonOf returns the reason that callers get when no worker was chosen.
@@ -365,13 +366,12 @@
 }
 
 // attempt sends a request to a worker and records the result.
-func (s *Service) attempt(ctx context.Context, rs *requestState, w *worker.Worker) {
-	id, address := w.ID, w.Address
+func (s *Service) attempt(ctx context.Context, rs *requestState, target exchange.Target) {
 	if len(rs.tried) == 0 {
 		rs.queued = time.Since(rs.request.Received)
 	}
-	rs.tried = append(rs.tried, id)
-	result := s.Exchange.Do(ctx, exchange.Target{ID: id, Address: address}, rs.request, rs.route.Kind.Repeatable())
+	rs.tried = append(rs.tried, target.ID)
+	result := s.Exchange.Do(ctx, target, rs.request, rs.route.Kind.Repeatable())
 	rs.last = result
 	if result.Sent {
 		rs.attempts++
@@ -384,12 +384,12 @@
 	report := reportOf(result)
 	report.Load, report.Warm, report.Large = rs.choice.Load, rs.choice.Warm, rs.route.Kind.Large()
 	if report.Outcome == placement.WrongWorker || report.Outcome == placement.Unreachable {
-		s.Exchange.CloseIdle(address)
+		s.Exchange.CloseIdle(target.Address)
 	}
 	s.mu.Lock()
-	s.placer.End(time.Now(), w, report)
+	s.placer.End(time.Now(), rs.choice.Worker, report)
 	s.mu.Unlock()
-	s.logAttempt(rs, id, address, result)
+	s.logAttempt(rs, target, result)
 }
 
 func reportOf(r exchange.Result) placement.Report {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/wigeonlock/wigeonlock/forward"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -308,3 +309,34 @@
 	assert.False(t, s.Exclusive(request("/read/x")))
 	assert.False(t, s.Exclusive(request("/none/x")))
 }
+
+// TestEntriesChangeWhileRequestsRun has workers write their entries while requests
+// are sent to them: the race detector reports an entry that is read without the lock.
+func TestEntriesChangeWhileRequestsRun(t *testing.T) {
+	s := newService(t, &exchanger{results: []exchange.Result{refused(), ran(200)}}, 4)
+	stopped := make(chan struct{})
+	var writers sync.WaitGroup
+	writers.Add(1)
+	go func() {
+		defer writers.Done()
+		for n := int64(2); ; n++ {
+			select {
+			case <-stopped:
+				return
+			default:
+			}
+			s.Update(func(st *forward.State) {
+				for i := range 4 {
+					st.Workers.Put(time.Now(), worker.Entry{
+						ID: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "a", Slots: 4, Born: 1, Heartbeat: n,
+					}, store.Revision(n))
+				}
+			})
+		}
+	}()
+	for range 500 {
+		s.Handle(t.Context(), request("/read/x"))
+	}
+	close(stopped)
+	writers.Wait()
+}
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -111,12 +111,12 @@
 
 // logAttempt logs an attempt that ended with a fault other than the
 // disconnection of the caller.
-func (s *Service) logAttempt(rs *requestState, id, address string, r exchange.Result) {
+func (s *Service) logAttempt(rs *requestState, target exchange.Target, r exchange.Result) {
 	if r.Fault == exchange.None || r.Fault == exchange.CallerDisconnected {
 		return
 	}
-	s.Log.Info("attempt failed", zap.String("request", rs.request.ID), zap.String("worker", id),
-		zap.String("address", address), zap.String("fault", string(r.Fault)),
+	s.Log.Info("attempt failed", zap.String("request", rs.request.ID), zap.String("worker", target.ID),
+		zap.String("address", target.Address), zap.String("fault", string(r.Fault)),
 		zap.Bool("reused", r.Reused), zap.Duration("tookMs", r.Took), zap.Float64("load", rs.choice.Load),
 		zap.Int("rank", rs.choice.Rank), zap.Duration("newsAgeMs", rs.updateAge))
 }
