An object stays at one place and moves as a whole when that is full

Objects of two routes with the same key went to the same worker, although a worker runs each cold (825 ms against 259 ms).

Change: objects are told apart by route; an object has one place, kept until that worker is full or unhealthy; it then moves as a whole, within the region first. Cold runs of moves to busy workers take at most a tenth of the slots over all instances; moves to idle workers are free, to other regions at most 4 % of the objects a second. What is refused counts as demand of its region.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,6 +98,9 @@
 	Zones    map[string]string
 	Log      *zap.Logger
 
+	// regions is the number of regions.
+	regions int
+
 	mu      sync.Mutex
 	state   State
 	placer  placement.Placer
@@ -112,6 +115,11 @@
 		Region: s.Region, RegionOf: func(zone string) string { return s.Zones[zone] },
 		Changed: s.logCondition,
 	}
+	regions := make(map[string]struct{})
+	for _, region := range s.Zones {
+		regions[region] = struct{}{}
+	}
+	s.regions = len(regions)
 	s.pacer = placement.Pacer{Self: s.Instance}
 	s.budgets = make(map[string]*retry.SharedBudget)
 }
@@ -321,17 +329,15 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	object := rs.request.Object
-	if object == "" || !rs.route.Sticky {
-		object = rs.request.ID
-	}
 	request := placement.Request{
 		Service:         rs.service,
-		Object:          object,
+		Object:          rs.object(),
+		Sticky:          rs.sticky(),
 		Large:           rs.route.Kind.Large(),
 		MayServe:        rs.route.MayServe,
 		Closed:          func(zone string) bool { return s.state.Closed[zone] },
 		RegionInstances: max(s.state.Neighbours, 1),
+		Instances:       max(s.state.Neighbours, 1) * s.regions,
 		Tried:           rs.tried,
 		PermitCold:      func(w *worker.Worker) bool { return s.permitCold(now, w) },
 	}
@@ -348,6 +354,21 @@
 	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address}, ""
 }
 
+// object identifies what the request concerns. Objects of different routes are
+// different ones even if their keys are equal: a worker that ran one for a route runs
+// it cold for another.
+func (rs *requestState) object() string {
+	if !rs.sticky() {
+		return rs.request.ID
+	}
+	return rs.route.Name + "/" + rs.request.Object
+}
+
+// sticky reports whether requests for the same object run faster on the same worker.
+func (rs *requestState) sticky() bool {
+	return rs.route.Sticky && rs.request.Object != ""
+}
+
 // reasonOf returns the reason that callers get when no worker was chosen.
 func reasonOf(r placement.Reason) relay.Reason {
 	if r == placement.NoWorkers {
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -283,7 +283,8 @@
 	run.counts[second][0]++
 	placer := run.placers[region][run.rand.IntN(_placementInstances)]
 	request := placement.Request{
-		Service: "s", Object: strconv.Itoa(run.rand.IntN(_placementObjects)), RegionInstances: _placementInstances,
+		Service: "s", Object: strconv.Itoa(run.rand.IntN(_placementObjects)), Sticky: true,
+		RegionInstances: _placementInstances, Instances: _placementInstances * len(_placementWorkers),
 		MayServe: func(string) bool { return true }, Closed: func(string) bool { return false },
 		PermitCold: func(*worker.Worker) bool { return true },
 	}
--- /dev/null
+++ b/placement/overload_test.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// load is a load pattern that is replayed on simulated workers of three regions, each
+// with instances and objects of its own. A run of a warm object takes 150 ms, of a cold
+// one 500 ms; answers within 400 ms are in time.
+type load struct {
+	// workers is the number of workers in each region, of three slots each.
+	workers map[string]int
+	// rate returns the requests per second of a region's callers.
+	rate func(region string, at time.Duration) float64
+	// objects is the number of objects of each region.
+	objects int
+	lasts   time.Duration
+}
+
+const _instancesPerRegion = 3
+
+// served is the share of the requests that were answered in time, late, or not at all.
+type served struct {
+	inTime, late, refused float64
+}
+
+// replay returns what the requests that arrive from a time on got.
+func (l load) replay(from time.Duration) served {
+	workers := workersOf(l.workers, 3)
+	s := &service{
+		slots: 3, queue: 9, keeps: 43, warm: 150 * time.Millisecond, cold: 500 * time.Millisecond,
+		workers: map[string]*modelWorker{},
+	}
+	regions := []string{"a", "b", "c"}
+	placers := make(map[string][]*Placer)
+	for _, region := range regions {
+		for range _instancesPerRegion {
+			placers[region] = append(placers[region], &Placer{Region: region, RegionOf: func(z string) string { return z }})
+		}
+	}
+	type running struct {
+		placer *Placer
+		sent   time.Time
+		choice Choice
+		done   time.Time
+		busy   int
+	}
+	var open []running
+	var got served
+	total := 0.0
+	random := uint64(11)
+	next := func() uint64 {
+		random = random + 0x9e3779b97f4a7c15
+		return mix(random)
+	}
+	const step = time.Millisecond
+	for at := time.Duration(0); at < l.lasts; at += step {
+		now := _start.Add(at)
+		unfinished := open[:0]
+		for _, r := range open {
+			if r.done.After(now) {
+				unfinished = append(unfinished, r)
+				continue
+			}
+			r.placer.End(now, r.choice.Worker, Report{
+				Outcome: Answered, HasLoad: true, Running: min(r.busy, s.slots), Waiting: max(r.busy-s.slots, 0),
+				Took: now.Sub(r.sent), Load: r.choice.Load, Warm: r.choice.Warm,
+			})
+		}
+		open = unfinished
+		for _, region := range regions {
+			if unit(next()) >= l.rate(region, at)*step.Seconds() {
+				continue
+			}
+			p := placers[region][next()%_instancesPerRegion]
+			r := requestFor(region + fmt.Sprint(next()%uint64(l.objects)))
+			r.RegionInstances, r.Instances = _instancesPerRegion, _instancesPerRegion*len(regions)
+			c := p.Choose(now, r, workers)
+			took, ok := time.Duration(0), false
+			if c.Worker != nil {
+				p.Begin(now, r, c.Worker)
+				var done time.Time
+				var busy int
+				if done, busy, ok = s.run(now, c.Worker.ID, r.Object); ok {
+					open = append(open, running{p, now, c, done, busy})
+					took = done.Sub(now)
+				} else {
+					p.End(now, c.Worker, Report{Outcome: Shed, HasLoad: true, Running: s.slots, Waiting: s.queue})
+				}
+			}
+			if at < from {
+				continue
+			}
+			total++
+			switch {
+			case !ok:
+				got.refused++
+			case took > 400*time.Millisecond:
+				got.late++
+			default:
+				got.inTime++
+			}
+		}
+	}
+	return served{got.inTime / total, got.late / total, got.refused / total}
+}
+
+func waves(mean float64) func(region string, at time.Duration) float64 {
+	return func(region string, at time.Duration) float64 {
+		phase := map[string]float64{"a": 0, "b": 0.33, "c": 0.67}[region]
+		return mean * (1 + 0.55*math.Sin(2*math.Pi*(at.Seconds()/36+phase)))
+	}
+}
+
+// TestObjectsLeaveFullWorkers has fourteen workers at half of what they can run warm.
+// By hash alone some of them get twice as many objects as others: requests were refused
+// there while others were idle.
+func TestObjectsLeaveFullWorkers(t *testing.T) {
+	l := load{workers: map[string]int{"a": 2, "b": 6, "c": 6}, objects: 48, lasts: 40 * time.Second, rate: waves(47)}
+	got := l.replay(10 * time.Second)
+	assert.Greater(t, got.inTime, 0.95, "%+v", got)
+	assert.Less(t, got.refused, 0.03, "%+v", got)
+}
+
+// TestOverloadKeepsWorkersWarm has a burst that exceeds what all workers together can
+// run: objects that move in search of room make each run cold, so that the workers stay
+// full after the burst.
+func TestOverloadKeepsWorkersWarm(t *testing.T) {
+	steady := waves(55)
+	l := load{
+		workers: map[string]int{"a": 2, "b": 6, "c": 6}, objects: 48, lasts: 30 * time.Second,
+		rate: func(region string, at time.Duration) float64 {
+			if at > 10*time.Second && at < 15*time.Second {
+				return 2.2 * steady(region, at)
+			}
+			return steady(region, at)
+		},
+	}
+	got := l.replay(19 * time.Second)
+	assert.Greater(t, got.inTime, 0.85, "%+v", got)
+}
+
+// TestPeakOfOneRegionUsesOthers has the callers of one region come at three times their
+// rate while the others are quiet, with room in the other regions.
+func TestPeakOfOneRegionUsesOthers(t *testing.T) {
+	l := load{
+		workers: map[string]int{"a": 4, "b": 5, "c": 5}, objects: 48, lasts: 36 * time.Second,
+		rate: func(region string, at time.Duration) float64 {
+			switch {
+			case at < 8*time.Second:
+				return 40
+			case region == "a":
+				return 110
+			}
+			return 15
+		},
+	}
+	got := l.replay(20 * time.Second)
+	assert.Greater(t, got.inTime, 0.85, "%+v", got)
+}
+
+// TestMovesAreLimited has every worker but one full: the objects that may move there in
+// a second take a tenth of all slots with their cold runs, over all instances.
+func TestMovesAreLimited(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 8}, 3)
+	const run = 200 * time.Millisecond
+	p := newPlacer()
+	p.localShareFor(shareKey{service: "s"}).run = run
+	free := workers[3]
+	p.state(free.ID).meanLoad = _idleLoad
+	for _, w := range workers {
+		for range 7 {
+			if w != free {
+				p.Begin(_start, requestFor("y"), w)
+			}
+		}
+	}
+	moved := 0
+	const seconds, instances = 10, 2
+	for n := range 1000 {
+		r := requestFor(fmt.Sprint(n))
+		r.Instances = instances
+		c := p.Choose(_start.Add(time.Duration(n)*seconds*time.Millisecond), r, workers)
+		if c.Moves {
+			assert.Equal(t, free, c.Worker)
+			moved++
+		}
+	}
+	allowed := _maxMoveTime * 8 * 3 / (_coldRun * run.Seconds()) / instances * seconds
+	assert.InDelta(t, allowed, moved, allowed/4)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,13 +1,16 @@
 // Package placement selects the worker for each request.
 //
-// Requests for the same object go to the same worker, because a worker that
-// handled an object recently serves it several times faster. Weighted rendezvous
+// Requests for the same object go to the same worker, its place, because a worker
+// that handled an object recently serves it several times faster. Weighted rendezvous
 // hashing of the object and the worker ID ranks the workers identically on every
 // instance, so that only the objects of a worker that joins or leaves are
 // reassigned. The local region keeps as many objects as its workers have capacity
-// for; the other objects are assigned to workers of other regions. A request is
-// sent to the next worker of the ranking only if the best one has no capacity, so
-// that each object is warm on few workers.
+// for; the other objects begin in other regions.
+//
+// An object leaves its place only when that worker has no capacity, and then moves as
+// a whole, first to a worker of the same region. By hash alone some workers get twice
+// the objects of others, and regions have their peaks at different times. How many
+// objects move is limited by what their cold runs cost the workers that take them.
 //
 // # Usage
 //
@@ -36,15 +39,17 @@
 	// _fullLoad is the load, in requests per slot, at which a worker counts as full
 	// and the next one is used. Workers refuse requests at a load of 4.
 	_fullLoad = 2.2
-	// _assignedWorkers is the number of workers assigned to an object, which keep it
-	// warm.
-	_assignedWorkers = 2
-	// _secondaryCost is the extra cost of the second assigned worker, in requests per
-	// slot: it is chosen only if its load is lower by more than that.
-	_secondaryCost = 0.3
-	// _coldCost is the extra time of a run on a worker where the object is cold, as
-	// a multiple of the time of a warm run.
-	_coldCost = 1.5
+	// _maxPlaces is the number of workers, in the order of the ranking, among which a
+	// new place is sought for an object whose place has no capacity.
+	_maxPlaces = 4
+	// _moveLoad is the load below which a worker takes over objects of others: a slot
+	// is free, so that the first run there, which is cold, does not wait.
+	_moveLoad = 1.0
+	// _idleLoad is the mean load below which the cold runs of a worker delay no others.
+	_idleLoad = 0.4
+	// _coldRun is the time of a run on a worker where the object is cold, as a
+	// multiple of the time of a warm run.
+	_coldRun = 2.5
 )
 
 // Reason explains why no worker was chosen.
@@ -63,6 +68,8 @@
 	// Object identifies what the request concerns. The caller sets a unique value, such
 	// as the request ID, for requests without an object, which spreads them.
 	Object string
+	// Sticky is set if a worker that ran a request for the object serves others faster.
+	Sticky bool
 	// MayServe reports whether workers of a region may serve the request.
 	MayServe func(region string) bool
 	// Closed reports whether a zone accepts no new requests.
@@ -72,8 +79,10 @@
 	// Large is set if answers are so large that transferring one from another
 	// region costs about as much as the answer is worth.
 	Large bool
-	// RegionInstances is the number of instances that share the region's requests.
+	// RegionInstances is the number of instances that share the region's requests,
+	// Instances the number of those that share the requests of all regions.
 	RegionInstances int
+	Instances       int
 	// PermitCold requests a cold-start permit: it reports whether a request may be
 	// sent to a cold worker, and counts that request against its rate limit.
 	PermitCold func(w *worker.Worker) bool
@@ -91,6 +100,11 @@
 	Rank int
 	// Warm is set if the object was sent to Worker recently.
 	Warm bool
+	// Moves is set if Worker becomes the place of the object.
+	Moves bool
+
+	// charged is the limit that the move is charged to, or nil.
+	charged *moveLimit
 }
 
 // Outcome is the result of an exchange with a worker.
@@ -149,12 +163,15 @@
 	localShares map[shareKey]*localShare
 	ranking     []ranked
 	warm        warmObjects
+	places      map[string]*places
 }
 
 type ranked struct {
 	w     *worker.Worker
 	score float64
 	local bool
+	// rank is the position among all workers that may serve the request.
+	rank int
 }
 
 // Choose returns the worker for a request, or the reason why there is none. It
@@ -162,6 +179,9 @@
 // permit uses up part of a rate limit.
 func (p *Placer) Choose(now time.Time, r Request, workers []*worker.Worker) Choice {
 	object := xxhash.Sum64String(r.Object)
+	if len(r.Tried) == 0 {
+		p.localShareFor(shareKey{r.Service, r.Large}).recordArrival(now)
+	}
 	p.rank(now, r, object, workers)
 	if len(p.ranking) == 0 {
 		return Choice{Reason: NoWorkers}
@@ -169,7 +189,13 @@
 	var refused []string
 	for {
 		c := p.best(now, r, object, refused)
-		if c.Worker == nil || !p.mayBeCold(now, c.Worker) || r.PermitCold(c.Worker) {
+		if c.Worker == nil {
+			return c
+		}
+		if !p.mayBeCold(now, c.Worker) || r.PermitCold(c.Worker) {
+			if r.Sticky {
+				p.placesOf(r.Service).record(now, object, c)
+			}
 			return c
 		}
 		refused = append(refused, c.Worker.ID)
@@ -181,44 +207,126 @@
 	return w.Cold(now) || isValid(now, p.state(w.ID).unreachableAt, w)
 }
 
-// best returns the assigned worker of an object with the lowest cost. Workers in
-// refused, which are cold and got no permit, are skipped.
+// best returns the place of an object if it has capacity, or else a worker that
+// takes the object over. Workers in refused, which are cold and got no permit, are
+// skipped.
 func (p *Placer) best(now time.Time, r Request, object uint64, refused []string) Choice {
-	best := Choice{Reason: AllTried}
+	p.ranking = slices.DeleteFunc(p.ranking, func(candidate ranked) bool {
+		w := candidate.w
+		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, p.state(w.ID))
+	})
+	if len(p.ranking) == 0 {
+		return Choice{Reason: AllTried}
+	}
+	places := p.placesOf(r.Service)
+	at := max(p.indexOf(places.of(now, object)), 0)
+	place := p.choice(now, object, at)
+	s := p.state(place.Worker.ID)
+	full := s.full(now, place.Load)
+	if !full && s.health.cost(now) < _unhealthyCost {
+		return place
+	}
+	if taker := p.taker(now, r, object, at); taker.Worker != nil {
+		return taker
+	}
+	if full {
+		return Choice{Reason: NoCapacity, FullWorker: place.Worker.ID, Load: place.Load}
+	}
+	return place
+}
+
+// taker returns the worker that takes over an object whose place, at an index of the
+// ranking, has no capacity. The object moves as a whole and stays: spreading its
+// requests would make every worker run it cold. Another region is considered only if
+// no worker of the same one can take the object.
+func (p *Placer) taker(now time.Time, r Request, object uint64, place int) Choice {
+	from := p.ranking[place].local
+	for _, local := range []bool{from, !from} {
+		c := p.takerAmong(now, object, place, local)
+		if c.Worker != nil && p.mayMove(now, r, &c, local == from) {
+			c.Moves = true
+			return c
+		}
+	}
+	return Choice{}
+}
+
+// takerAmong returns the best of the first workers of the local or the other regions
+// that can take an object. Workers where it is warm need capacity, any other a free
+// slot.
+func (p *Placer) takerAmong(now time.Time, object uint64, place int, local bool) Choice {
+	var best Choice
 	cost := math.Inf(1)
-	assigned := 0
+	seen := 0
 	for i, candidate := range p.ranking {
-		w := candidate.w
-		s := p.state(w.ID)
-		if slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, s) {
+		if i == place || candidate.local != local {
 			continue
 		}
-		if assigned++; assigned > _assignedWorkers {
+		if seen++; seen > _maxPlaces {
 			break
 		}
-		load := s.load(now, w)
-		if load >= _fullLoad || now.Before(s.shedUntil) {
-			if best.Worker == nil && best.FullWorker == "" {
-				best.Reason, best.FullWorker, best.Load = NoCapacity, w.ID, load
-			}
-			continue
+		c := p.choice(now, object, i)
+		s := p.state(c.Worker.ID)
+		limit := _moveLoad
+		if c.Warm {
+			limit = _fullLoad
 		}
-		warm := p.warm.contains(now, object, w.ID)
-		c := max(load, 1)
-		if assigned > 1 {
-			c += _secondaryCost
-			if !warm {
-				c += _coldCost
-			}
+		if c.Load >= limit || s.full(now, c.Load) || s.health.cost(now) >= _unhealthyCost {
+			continue
 		}
-		c *= s.health.cost(now)
-		if c < cost {
-			best, cost = Choice{Worker: w, Load: load, Rank: i, Warm: warm}, c
+		if taken := c.Load + runCost(c.Warm); taken < cost {
+			best, cost = c, taken
 		}
 	}
 	return best
 }
 
+// mayMove reports whether an object may move to a chosen worker, and sets the limit
+// that the move is charged to. Cold runs on an idle worker delay no others; there, only
+// the change of the region is limited.
+func (p *Placer) mayMove(now time.Time, r Request, c *Choice, sameRegion bool) bool {
+	places := p.placesOf(r.Service)
+	idle := p.state(c.Worker.ID).meanLoad < _idleLoad
+	perSecond := 0.0
+	switch {
+	case c.Warm || !r.Sticky || idle && sameRegion:
+		return true
+	case idle:
+		c.charged, perSecond = &places.idle, _maxShareChange*float64(len(places.last))
+	default:
+		c.charged, perSecond = &places.busy, p.moveRate(r)
+	}
+	return c.charged.allows(now, perSecond)
+}
+
+// moveRate returns the number of objects of a service that may move to busy workers
+// per second.
+func (p *Placer) moveRate(r Request) float64 {
+	slots := 0
+	for _, candidate := range p.ranking {
+		slots += candidate.w.Slots
+	}
+	return movesPerSecond(slots, p.localShareFor(shareKey{r.Service, r.Large}).run, r.Instances)
+}
+
+// runCost returns the time of a run as a multiple of a warm one.
+func runCost(warm bool) float64 {
+	if warm {
+		return 1
+	}
+	return _coldRun
+}
+
+func (p *Placer) choice(now time.Time, object uint64, i int) Choice {
+	w := p.ranking[i].w
+	return Choice{Worker: w, Load: p.state(w.ID).load(now, w), Rank: p.ranking[i].rank, Warm: p.warm.contains(now, object, w.ID)}
+}
+
+// indexOf returns the index of a worker in the ranking, or -1.
+func (p *Placer) indexOf(id string) int {
+	return slices.IndexFunc(p.ranking, func(r ranked) bool { return r.w.ID == id })
+}
+
 // rank sorts the workers that may serve a request, best first. Local objects rank
 // the workers of the local region before the others, other objects after them.
 func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) {
@@ -234,7 +342,7 @@
 		if local {
 			localSlots += w.Slots
 		}
-		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), local})
+		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), local, 0})
 	}
 	isLocal := unit(mix(object)) < p.updateLocalShare(now, r, localSlots, allSlots, workers)
 	sort.Slice(p.ranking, func(i, j int) bool {
@@ -244,6 +352,9 @@
 		}
 		return a.score > b.score
 	})
+	for i := range p.ranking {
+		p.ranking[i].rank = i
+	}
 }
 
 // score returns the weighted rendezvous score of a worker for an object.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -34,7 +34,7 @@
 
 func requestFor(object string) Request {
 	return Request{
-		Service: "s", Object: object, RegionInstances: 1,
+		Service: "s", Object: object, Sticky: true, RegionInstances: 1, Instances: 1,
 		MayServe:   func(string) bool { return true },
 		Closed:     func(string) bool { return false },
 		PermitCold: func(*worker.Worker) bool { return false },
--- /dev/null
+++ b/placement/places.go
@@ -0,0 +1,106 @@
+package placement
+
+import "time"
+
+const (
+	// _placeTime is the time for which the place of an object is remembered after
+	// its last request.
+	_placeTime = time.Minute
+	// _maxPlaced limits the number of remembered places of a service.
+	_maxPlaced = 1 << 14
+	// _maxMoveTime is the part of a service's slots that cold runs of moved objects may
+	// take, over all instances. Without a limit, objects that move from full workers
+	// fill others with cold runs, which then are full as well, and the service stays
+	// cold and full after the burst that began it.
+	_maxMoveTime = 0.1
+)
+
+// places remembers the place of each object of a service: the worker to which the
+// requests for the object are sent. An object stays there while that worker has
+// capacity, so that a burst or a slow worker moves few objects, each of them once.
+type places struct {
+	last map[uint64]placed
+
+	// busy limits moves to busy workers, idle those to idle workers of other regions.
+	busy moveLimit
+	idle moveLimit
+}
+
+// moveLimit limits the number of objects that move per second. Up to a second's worth,
+// at least one object, may move at once.
+type moveLimit struct {
+	left float64
+	at   time.Time
+}
+
+// allows reports whether an object may move now.
+func (m *moveLimit) allows(now time.Time, perSecond float64) bool {
+	m.left = min(m.left+perSecond*now.Sub(m.at).Seconds(), max(perSecond, 1))
+	m.at = now
+	return m.left >= 1
+}
+
+type placed struct {
+	id string
+	at time.Time
+}
+
+func (p *Placer) placesOf(service string) *places {
+	known := p.places[service]
+	if known == nil {
+		if p.places == nil {
+			p.places = make(map[string]*places)
+		}
+		known = &places{last: make(map[uint64]placed)}
+		p.places[service] = known
+	}
+	return known
+}
+
+// record records that a request for an object is sent as chosen.
+func (p *places) record(now time.Time, object uint64, c Choice) {
+	last, ok := p.last[object]
+	if !ok && len(p.last) >= _maxPlaced {
+		p.forget(now)
+	}
+	if !ok || c.Moves || now.Sub(last.at) >= _placeTime {
+		last.id = c.Worker.ID
+	}
+	if c.charged != nil {
+		c.charged.left--
+	}
+	last.at = now
+	p.last[object] = last
+}
+
+// of returns the ID of the worker, or an empty string if none is remembered.
+func (p *places) of(now time.Time, object uint64) string {
+	if last, ok := p.last[object]; ok && now.Sub(last.at) < _placeTime {
+		return last.id
+	}
+	return ""
+}
+
+// movesPerSecond returns how many objects may move per second so that their cold runs
+// take at most _maxMoveTime of the slots. run is the mean time of a run, instances the
+// number of instances that send to the workers.
+func movesPerSecond(slots int, run time.Duration, instances int) float64 {
+	if run <= 0 {
+		return 0
+	}
+	return _maxMoveTime * float64(slots) / (_coldRun * run.Seconds()) / float64(max(instances, 1))
+}
+
+// forget deletes expired places, or all if _maxPlaced of them are not expired.
+func (p *places) forget(now time.Time) {
+	kept := make(map[uint64]placed)
+	for object, last := range p.last {
+		if now.Sub(last.at) < _placeTime {
+			kept[object] = last
+		}
+	}
+	if len(kept) >= _maxPlaced {
+		clear(kept)
+	}
+	p.last = kept
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,8 @@
 const (
 	// _reportMaxAge is the time for which a load report of a worker is used.
 	_reportMaxAge = time.Second
+	// _meanLoadTime is the time over which load reports are averaged.
+	_meanLoadTime = time.Second
 	// _refusedTime is the time for which a worker that refused a request counts as
 	// full.
 	_refusedTime = 100 * time.Millisecond
@@ -36,6 +39,8 @@
 	reportedInFlight int
 	reportedAt       time.Time
 	shedUntil        time.Time
+	// meanLoad is the load over the last reports.
+	meanLoad float64
 	// faults is the number of consecutive failures; the worker is avoided until
 	// avoidUntil.
 	faults     int
@@ -72,6 +77,11 @@
 	return float64(busy) / float64(max(w.Slots, 1))
 }
 
+// full reports whether a worker with a load has no capacity.
+func (s *state) full(now time.Time, load float64) bool {
+	return load >= _fullLoad || now.Before(s.shedUntil)
+}
+
 func (p *Placer) state(id string) *state {
 	s := p.known[id]
 	if s == nil {
@@ -86,9 +96,10 @@
 
 // Begin records that a request is sent to a worker. Each Begin needs one End.
 func (p *Placer) Begin(now time.Time, r Request, w *worker.Worker) {
-	p.warm.record(now, xxhash.Sum64String(r.Object), w.ID)
+	if r.Sticky {
+		p.warm.record(now, xxhash.Sum64String(r.Object), w.ID)
+	}
 	p.state(w.ID).inFlight++
-	p.localShareFor(shareKey{w.Service, r.Large}).recordArrival(now)
 }
 
 // End records the end of an exchange with a worker.
@@ -98,6 +109,8 @@
 	p.updateHealth(now, s, w, r)
 	p.notifyHealth(now, s, w)
 	if r.HasLoad {
+		weight := 1 - math.Exp(-now.Sub(s.reportedAt).Seconds()/_meanLoadTime.Seconds())
+		s.meanLoad += weight * (float64(r.Running+r.Waiting)/float64(max(w.Slots, 1)) - s.meanLoad)
 		s.reportedLoad, s.reportedInFlight, s.reportedAt = r.Running+r.Waiting, s.inFlight, now
 	}
 	switch r.Outcome {
