Callers that return after a refusal are served at higher loads than new ones

A request whose time left is below what callers of its route state otherwise is a return, and workers count as full for it at 3.4 requests a slot instead of 2.2.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -105,6 +105,7 @@
 	state   State
 	placer  placement.Placer
 	pacer   placement.Pacer
+	returns returns
 	budgets map[string]*retry.SharedBudget
 }
 
@@ -333,6 +334,7 @@
 		Service:         rs.service,
 		Object:          rs.object(),
 		Sticky:          rs.sticky(),
+		Returning:       s.returns.recognize(rs.route.Name, rs.request.TimeLeft),
 		Large:           rs.route.Kind.Large(),
 		MayServe:        rs.route.MayServe,
 		Closed:          func(zone string) bool { return s.state.Closed[zone] },
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -20,6 +20,8 @@
 	// objects is the number of objects of each region.
 	objects int
 	lasts   time.Duration
+	// returning is set if a refused caller comes back once, after 300 ms.
+	returning bool
 }
 
 const _instancesPerRegion = 3
@@ -30,7 +32,7 @@
 }
 
 // replay returns what the requests that arrive from a time on got.
-func (l load) replay(from time.Duration) served {
+func (l load) replay(since time.Duration) served {
 	workers := workersOf(l.workers, 3)
 	s := &service{
 		slots: 3, queue: 9, keeps: 43, warm: 150 * time.Millisecond, cold: 500 * time.Millisecond,
@@ -50,7 +52,14 @@
 		done   time.Time
 		busy   int
 	}
+	type caller struct {
+		at        time.Duration
+		region    string
+		object    string
+		returning bool
+	}
 	var open []running
+	var back []caller
 	var got served
 	total := 0.0
 	random := uint64(11)
@@ -73,13 +82,21 @@
 			})
 		}
 		open = unfinished
+		var callers []caller
 		for _, region := range regions {
-			if unit(next()) >= l.rate(region, at)*step.Seconds() {
-				continue
+			if unit(next()) < l.rate(region, at)*step.Seconds() {
+				callers = append(callers, caller{at, region, region + fmt.Sprint(next()%uint64(l.objects)), false})
 			}
-			p := placers[region][next()%_instancesPerRegion]
-			r := requestFor(region + fmt.Sprint(next()%uint64(l.objects)))
+		}
+		for len(back) > 0 && at >= back[0].at+300*time.Millisecond {
+			back[0].returning = true
+			callers, back = append(callers, back[0]), back[1:]
+		}
+		for _, from := range callers {
+			p := placers[from.region][next()%_instancesPerRegion]
+			r := requestFor(from.object)
 			r.RegionInstances, r.Instances = _instancesPerRegion, _instancesPerRegion*len(regions)
+			r.Returning = from.returning
 			c := p.Choose(now, r, workers)
 			took, ok := time.Duration(0), false
 			if c.Worker != nil {
@@ -88,12 +105,16 @@
 				var busy int
 				if done, busy, ok = s.run(now, c.Worker.ID, r.Object); ok {
 					open = append(open, running{p, now, c, done, busy})
-					took = done.Sub(now)
+					took = done.Sub(_start.Add(from.at))
 				} else {
 					p.End(now, c.Worker, Report{Outcome: Shed, HasLoad: true, Running: s.slots, Waiting: s.queue})
 				}
 			}
-			if at < from {
+			if !ok && l.returning && !from.returning {
+				back = append(back, from)
+				continue
+			}
+			if from.at < since {
 				continue
 			}
 			total++
@@ -164,6 +185,18 @@
 	assert.Greater(t, got.inTime, 0.85, "%+v", got)
 }
 
+// TestReturningCallersGoFirst has callers ask for more than all workers can run, and
+// refused ones return as told: without preference, almost a quarter of the requests was
+// refused twice and so not served at all.
+func TestReturningCallersGoFirst(t *testing.T) {
+	l := load{
+		workers: map[string]int{"a": 4, "b": 5, "c": 5}, objects: 48, lasts: 25 * time.Second, returning: true,
+		rate: func(string, time.Duration) float64 { return 92 },
+	}
+	got := l.replay(8 * time.Second)
+	assert.Less(t, got.refused, 0.1, "%+v", got)
+}
+
 // TestMovesAreLimited has every worker but one full: the objects that may move there in
 // a second take a tenth of all slots with their cold runs, over all instances.
 func TestMovesAreLimited(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,9 +36,13 @@
 )
 
 const (
-	// _fullLoad is the load, in requests per slot, at which a worker counts as full
-	// and the next one is used. Workers refuse requests at a load of 4.
+	// _fullLoad is the load, in requests per slot, at which a worker counts as full.
+	// Workers refuse requests at a load of 4.
 	_fullLoad = 2.2
+	// _returnLoad is the same for a caller that was refused before and returns. In
+	// overload, refusing it again would end its request, while a new caller has a
+	// return left.
+	_returnLoad = 3.4
 	// _maxPlaces is the number of workers, in the order of the ranking, among which a
 	// new place is sought for an object whose place has no capacity.
 	_maxPlaces = 4
@@ -79,6 +83,8 @@
 	// Large is set if answers are so large that transferring one from another
 	// region costs about as much as the answer is worth.
 	Large bool
+	// Returning is set if the caller was refused before and was told to return.
+	Returning bool
 	// RegionInstances is the number of instances that share the region's requests,
 	// Instances the number of those that share the requests of all regions.
 	RegionInstances int
@@ -222,7 +228,7 @@
 	at := max(p.indexOf(places.of(now, object)), 0)
 	place := p.choice(now, object, at)
 	s := p.state(place.Worker.ID)
-	full := s.full(now, place.Load)
+	full := s.full(now, r, place.Load)
 	if !full && s.health.cost(now) < _unhealthyCost {
 		return place
 	}
@@ -242,7 +248,7 @@
 func (p *Placer) taker(now time.Time, r Request, object uint64, place int) Choice {
 	from := p.ranking[place].local
 	for _, local := range []bool{from, !from} {
-		c := p.takerAmong(now, object, place, local)
+		c := p.takerAmong(now, r, object, place, local)
 		if c.Worker != nil && p.mayMove(now, r, &c, local == from) {
 			c.Moves = true
 			return c
@@ -254,7 +260,7 @@
 // takerAmong returns the best of the first workers of the local or the other regions
 // that can take an object. Workers where it is warm need capacity, any other a free
 // slot.
-func (p *Placer) takerAmong(now time.Time, object uint64, place int, local bool) Choice {
+func (p *Placer) takerAmong(now time.Time, r Request, object uint64, place int, local bool) Choice {
 	var best Choice
 	cost := math.Inf(1)
 	seen := 0
@@ -267,11 +273,7 @@
 		}
 		c := p.choice(now, object, i)
 		s := p.state(c.Worker.ID)
-		limit := _moveLoad
-		if c.Warm {
-			limit = _fullLoad
-		}
-		if c.Load >= limit || s.full(now, c.Load) || s.health.cost(now) >= _unhealthyCost {
+		if !c.Warm && c.Load >= _moveLoad || s.full(now, r, c.Load) || s.health.cost(now) >= _unhealthyCost {
 			continue
 		}
 		if taken := c.Load + runCost(c.Warm); taken < cost {
--- a/placement/state.go
+++ b/placement/state.go
@@ -77,9 +77,13 @@
 	return float64(busy) / float64(max(w.Slots, 1))
 }
 
-// full reports whether a worker with a load has no capacity.
-func (s *state) full(now time.Time, load float64) bool {
-	return load >= _fullLoad || now.Before(s.shedUntil)
+// full reports whether a worker with a load has no capacity for a request.
+func (s *state) full(now time.Time, r Request, load float64) bool {
+	limit := _fullLoad
+	if r.Returning {
+		limit = _returnLoad
+	}
+	return load >= limit || now.Before(s.shedUntil)
 }
 
 func (p *Placer) state(id string) *state {
