Instances of a region tell each other of moved objects

Change: package movefeed sends each move as a datagram to the instances of the region that callers are given; the one with more moves of the object before it wins. An instance that starts asks for the known moves. Datagrams that cannot be decoded are counted and dropped; without a socket the instance serves on.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -173,9 +173,25 @@
 	return list
 }
 
-// selected returns the sorted addresses of a region that callers are given. They
-// are selected from each zone in turn, those with the largest capacity first.
+// ServingNeighbours returns the instances of the local region that callers are given, without
+// this one.
+func (d *Directory) ServingNeighbours() []Member {
+	return slices.DeleteFunc(d.selectMembers(d.Self.Region), func(m Member) bool { return m.Name == d.Self.Name })
+}
+
+// selected returns the sorted addresses of a region that callers are given.
 func (d *Directory) selected(region string) []string {
+	var addresses []string
+	for _, m := range d.selectMembers(region) {
+		addresses = append(addresses, m.Address)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
+// selectMembers returns the instances of a region that callers are given. They are
+// selected from each zone in turn, those with the largest capacity first.
+func (d *Directory) selectMembers(region string) []Member {
 	zones := make(map[string][]Member)
 	var zoneNames []string
 	for _, m := range d.serving() {
@@ -200,22 +216,21 @@
 	for _, list := range zones {
 		best = max(best, list[0].Capacity)
 	}
-	var addresses []string
-	for turn := 0; len(addresses) < MaxPerRegion; turn++ {
-		before := len(addresses)
+	var selected []Member
+	for turn := 0; len(selected) < MaxPerRegion; turn++ {
+		before := len(selected)
 		for _, zone := range zoneNames {
-			if turn >= len(zones[zone]) || len(addresses) >= MaxPerRegion {
+			if turn >= len(zones[zone]) || len(selected) >= MaxPerRegion {
 				continue
 			}
 			m := zones[zone][turn]
-			if m.Capacity >= best*_minCapacityShare || len(addresses) < _minPerRegion {
-				addresses = append(addresses, m.Address)
+			if m.Capacity >= best*_minCapacityShare || len(selected) < _minPerRegion {
+				selected = append(selected, m)
 			}
 		}
-		if len(addresses) == before {
+		if len(selected) == before {
 			break
 		}
 	}
-	sort.Strings(addresses)
-	return addresses
+	return selected
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -97,6 +97,9 @@
 	Region   string
 	Zones    map[string]string
 	Log      *zap.Logger
+	// Moved, if set, is called when an object moves to another worker. It must not
+	// block.
+	Moved func(m placement.Move)
 
 	// regions is the number of regions.
 	regions int
@@ -114,7 +117,7 @@
 	s.state = State{Workers: worker.NewRegistry(), Closed: make(map[string]bool), SharedLimits: limits, PeakInstances: 2 * len(s.Zones)}
 	s.placer = placement.Placer{
 		Region: s.Region, RegionOf: func(zone string) string { return s.Zones[zone] },
-		Changed: s.logCondition,
+		Changed: s.logCondition, Moved: s.Moved,
 	}
 	regions := make(map[string]struct{})
 	for _, region := range s.Zones {
@@ -133,6 +136,23 @@
 	f(&s.state)
 }
 
+// Moves returns moves of objects to other workers, at most limit.
+func (s *Service) Moves(limit int) []placement.Move {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placer.Moves(time.Now(), limit)
+}
+
+// AdoptMoves applies moves that another instance of the region made.
+func (s *Service) AdoptMoves(moves []placement.Move) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range moves {
+		s.placer.Adopt(now, m)
+	}
+}
+
 // IdleConnClosed marks the worker at an address as suspected after it closed an
 // idle connection: it may have ended.
 func (s *Service) IdleConnClosed(address string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonlock/wigeonlock/forward"
 	"github.com/wigeonlock/wigeonlock/frontend"
 	"github.com/wigeonlock/wigeonlock/kernel"
+	"github.com/wigeonlock/wigeonlock/movefeed"
 	"github.com/wigeonlock/wigeonlock/platform"
 	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/watch"
@@ -67,6 +68,7 @@
 	frontend     *frontend.Server
 	watcher      *watch.Watcher
 	changefeed   *changefeed.Server
+	movefeed     *movefeed.Feed
 	registration *registration
 
 	mu               sync.Mutex
@@ -89,9 +91,12 @@
 	for _, z := range s.Zones {
 		zones[z.Name] = z.Region
 	}
+	g.movefeed = movefeed.New()
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell,
 	}
+	g.movefeed.Listen, g.movefeed.Neighbours = s.Peers.Listen, g.servingNeighbours
+	g.movefeed.Moves, g.movefeed.Log = g.forward, g.Log
 	g.forward.Prepare(s.sharedLimits())
 	g.pool.OnIdleClose = g.forward.IdleConnClosed
 	g.limits = frontend.Limits{
@@ -149,6 +154,7 @@
 		defer stop()
 		return g.changefeed.Serve(peers)
 	})
+	k.Go("moves", g.movefeed.Run)
 	k.Go("front", func(context.Context) error { return g.frontend.Serve(callers) })
 	k.Go("follow", g.watcher.Run)
 	k.Go("presence", g.registration.run)
@@ -254,6 +260,19 @@
 	return list
 }
 
+// servingNeighbours returns the addresses of the other instances that serve the callers
+// of the local region.
+func (g *Gateway) servingNeighbours() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := g.directory.ServingNeighbours()
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Peers)
+	}
+	return addresses
+}
+
 func (g *Gateway) registered() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/movefeed/movefeed.go
@@ -0,0 +1,228 @@
+// Package movefeed tells the other instances of a region, by datagrams, to which
+// workers objects have moved.
+//
+// Instances of a region send requests for the same objects. If each of them moved an
+// object by itself, the object would run cold on as many workers. A datagram that is
+// lost costs one such run: nothing is repeated. An instance that starts asks the others
+// for all moves that they know.
+//
+// # Usage
+//
+//	f := &movefeed.Feed{Listen: "10.1.0.9:7620", Neighbours: neighbours, Moves: service, Log: log}
+//	go f.Run(ctx)
+//	f.Tell(move)
+package movefeed
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/placement"
+)
+
+const (
+	// _maxMoves is the number of moves in one datagram: about 1200 bytes, so that it
+	// needs no fragments.
+	_maxMoves = 12
+	// _maxDatagram is the largest datagram that is read, in bytes.
+	_maxDatagram = 4 << 10
+	// _maxAnswers is the largest number of datagrams that answer a question.
+	_maxAnswers = 64
+	// _queue is the number of moves that wait to be sent. Further ones are dropped.
+	_queue = 256
+	// _askInterval is the time between questions until one is answered, _maxAsks
+	// the number of questions.
+	_askInterval = 300 * time.Millisecond
+	_maxAsks     = 10
+)
+
+// Moves holds the moves that an instance knows.
+type Moves interface {
+	// Moves returns the known moves, at most max.
+	Moves(max int) []placement.Move
+	// AdoptMoves applies moves of a neighbour.
+	AdoptMoves(moves []placement.Move)
+}
+
+// Feed sends and receives moves. The exported fields are set before Run.
+type Feed struct {
+	// Listen is the host:port for datagrams.
+	Listen string
+	// Neighbours returns the addresses of the other instances of the region that serve
+	// callers.
+	Neighbours func() []string
+	Moves      Moves
+	Log        *zap.Logger
+
+	queue chan placement.Move
+}
+
+// message is the content of a datagram: a question, or moves.
+type message struct {
+	Ask   bool             `json:"ask,omitempty"`
+	Moves []placement.Move `json:"moves,omitempty"`
+}
+
+var (
+	_told     = metrics.NewCounter("wigeonlock_moves_told_total")
+	_heard    = metrics.NewCounter("wigeonlock_moves_heard_total")
+	_dropped  = metrics.NewCounter("wigeonlock_moves_dropped_total")
+	_unusable = metrics.NewCounter("wigeonlock_moves_unusable_total")
+)
+
+// New returns a feed. Tell may be called before Run.
+func New() *Feed {
+	return &Feed{queue: make(chan placement.Move, _queue)}
+}
+
+// Tell queues a move for the neighbours. It does not block.
+func (f *Feed) Tell(m placement.Move) {
+	select {
+	case f.queue <- m:
+	default:
+		_dropped.Inc()
+	}
+}
+
+// Run sends and receives datagrams until ctx ends and returns nil. Without a socket it
+// only logs: an instance that does not hear of moves still serves.
+func (f *Feed) Run(ctx context.Context) error {
+	conn, err := f.listen()
+	if err != nil {
+		f.Log.Warn("moves of objects are not shared", zap.Error(err))
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	answered := make(chan struct{}, 1)
+	go f.send(ctx, conn, answered)
+	buffer := make([]byte, _maxDatagram)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
+			// An earlier datagram may have reached a machine without a listener.
+			f.Log.Debug("datagram was not read", zap.String("error", err.Error()))
+			pause(ctx, _askInterval)
+			continue
+		}
+		f.receive(conn, from, buffer[:n], answered)
+	}
+}
+
+func (f *Feed) listen() (*net.UDPConn, error) {
+	address, err := net.ResolveUDPAddr("udp4", f.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "address for moves")
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for moves")
+	}
+	return conn, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// receive handles a datagram. One that cannot be decoded is counted and dropped.
+func (f *Feed) receive(conn *net.UDPConn, from netip.AddrPort, data []byte, answered chan<- struct{}) {
+	m, ok := decode(data)
+	if !ok {
+		_unusable.Inc()
+		return
+	}
+	if m.Ask {
+		f.write(conn, from, f.Moves.Moves(_maxMoves*_maxAnswers))
+		return
+	}
+	_heard.Add(len(m.Moves))
+	f.Moves.AdoptMoves(m.Moves)
+	select {
+	case answered <- struct{}{}:
+	default:
+	}
+}
+
+func decode(data []byte) (m message, ok bool) {
+	err := json.Unmarshal(data, &m)
+	return m, err == nil && len(m.Moves) <= _maxMoves
+}
+
+// send asks the neighbours for their moves, and then sends each queued move to all of
+// them.
+func (f *Feed) send(ctx context.Context, conn *net.UDPConn, answered <-chan struct{}) {
+	asks := 0
+	ask := time.NewTicker(_askInterval)
+	defer ask.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-answered:
+			asks = _maxAsks
+		case <-ask.C:
+			if asks++; asks > _maxAsks {
+				ask.Stop()
+				continue
+			}
+			f.broadcast(conn, nil)
+		case m := <-f.queue:
+			moves := []placement.Move{m}
+			for len(f.queue) > 0 && len(moves) < _maxMoves {
+				moves = append(moves, <-f.queue)
+			}
+			f.broadcast(conn, moves)
+			_told.Add(len(moves))
+		}
+	}
+}
+
+// broadcast sends moves to all neighbours, or a question if there are none.
+func (f *Feed) broadcast(conn *net.UDPConn, moves []placement.Move) {
+	for _, neighbour := range f.Neighbours() {
+		to, err := netip.ParseAddrPort(neighbour)
+		if err != nil {
+			continue
+		}
+		if len(moves) > 0 {
+			f.write(conn, to, moves)
+			continue
+		}
+		f.writeMessage(conn, to, message{Ask: true})
+	}
+}
+
+// write sends moves, and an empty message if there are none.
+func (f *Feed) write(conn *net.UDPConn, to netip.AddrPort, moves []placement.Move) {
+	for {
+		n := min(len(moves), _maxMoves)
+		f.writeMessage(conn, to, message{Moves: moves[:n]})
+		if moves = moves[n:]; len(moves) == 0 {
+			return
+		}
+	}
+}
+
+func (f *Feed) writeMessage(conn *net.UDPConn, to netip.AddrPort, m message) {
+	data, err := json.Marshal(m)
+	if err == nil {
+		_, err = conn.WriteToUDPAddrPort(data, to)
+	}
+	if err != nil {
+		_dropped.Add(max(len(m.Moves), 1))
+	}
+}
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -22,6 +22,8 @@
 	lasts   time.Duration
 	// returning is set if a refused caller comes back once, after 300 ms.
 	returning bool
+	// told is set if the instances of a region are told of each other's moves.
+	told bool
 }
 
 const _instancesPerRegion = 3
@@ -44,6 +46,9 @@
 		for range _instancesPerRegion {
 			placers[region] = append(placers[region], &Placer{Region: region, RegionOf: func(z string) string { return z }})
 		}
+		if l.told {
+			tell(placers[region])
+		}
 	}
 	type running struct {
 		placer *Placer
@@ -131,6 +136,19 @@
 	return served{got.inTime / total, got.late / total, got.refused / total}
 }
 
+// tell passes the moves of each placer to the others.
+func tell(placers []*Placer) {
+	for i, p := range placers {
+		p.Moved = func(m Move) {
+			for j, other := range placers {
+				if j != i {
+					other.Adopt(_start, m)
+				}
+			}
+		}
+	}
+}
+
 func waves(mean float64) func(region string, at time.Duration) float64 {
 	return func(region string, at time.Duration) float64 {
 		phase := map[string]float64{"a": 0, "b": 0.33, "c": 0.67}[region]
@@ -197,6 +215,40 @@
 	assert.Less(t, got.refused, 0.1, "%+v", got)
 }
 
+// TestToldMovesKeepObjectsTogether has full workers lose objects: if each instance of a
+// region moves an object by itself, it runs cold on as many workers, and the others wait.
+func TestToldMovesKeepObjectsTogether(t *testing.T) {
+	l := load{workers: map[string]int{"a": 4, "b": 5, "c": 5}, objects: 48, lasts: 36 * time.Second, rate: waves(66)}
+	alone := l.replay(8 * time.Second)
+	l.told = true
+	got := l.replay(8 * time.Second)
+	assert.Greater(t, got.inTime, alone.inTime, "%+v, not told %+v", got, alone)
+	assert.Less(t, got.refused, 0.7*alone.refused, "%+v, not told %+v", got, alone)
+}
+
+// TestInstancesAgreeOnMoves has two instances move an object at the same time and learn
+// of the other's move, in either order.
+func TestInstancesAgreeOnMoves(t *testing.T) {
+	a, b := newPlacer(), newPlacer()
+	first := Move{Service: "s", Object: 7, Worker: "i-2", Count: 1}
+	second := Move{Service: "s", Object: 7, Worker: "i-1", Count: 1}
+	for _, p := range []*Placer{a, b} {
+		p.Adopt(_start, Move{Service: "s", Object: 7, Count: 0, Worker: "i-9"})
+		assert.Empty(t, p.Moves(_start, 10), "not a move")
+	}
+	a.Adopt(_start, first)
+	a.Adopt(_start, second)
+	b.Adopt(_start, second)
+	b.Adopt(_start, first)
+	assert.Equal(t, a.Moves(_start, 10), b.Moves(_start, 10))
+	later := Move{Service: "s", Object: 7, Worker: "i-8", Count: 2}
+	a.Adopt(_start, later)
+	a.Adopt(_start, first)
+	assert.Equal(t, []Move{later}, a.Moves(_start, 10))
+	assert.Empty(t, a.Moves(_start.Add(2*_placeTime), 10))
+	assert.Empty(t, a.Moves(_start, 0))
+}
+
 // TestMovesAreLimited has every worker but one full: the objects that may move there in
 // a second take a tenth of all slots with their cold runs, over all instances.
 func TestMovesAreLimited(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -164,6 +164,8 @@
 	RegionOf func(zone string) string
 	// Changed, if set, is called when a condition changes.
 	Changed func(c Condition)
+	// Moved, if set, is called when an object moves. It must not block.
+	Moved func(m Move)
 
 	known       map[string]*state
 	localShares map[shareKey]*localShare
@@ -200,7 +202,7 @@
 		}
 		if !p.mayBeCold(now, c.Worker) || r.PermitCold(c.Worker) {
 			if r.Sticky {
-				p.placesOf(r.Service).record(now, object, c)
+				p.recordPlace(now, r.Service, object, c)
 			}
 			return c
 		}
@@ -208,6 +210,13 @@
 	}
 }
 
+func (p *Placer) recordPlace(now time.Time, service string, object uint64, c Choice) {
+	count := p.placesOf(service).record(now, object, c)
+	if c.Moves && p.Moved != nil {
+		p.Moved(Move{service, object, c.Worker.ID, count})
+	}
+}
+
 // mayBeCold reports whether a worker is cold or may have restarted.
 func (p *Placer) mayBeCold(now time.Time, w *worker.Worker) bool {
 	return w.Cold(now) || isValid(now, p.state(w.ID).unreachableAt, w)
--- a/placement/places.go
+++ b/placement/places.go
@@ -43,6 +43,51 @@
 type placed struct {
 	id string
 	at time.Time
+	// moves counts the moves of the object.
+	moves uint32
+}
+
+// Move is the move of an object to another worker. Of two moves of an object, the one
+// with more moves before it is newer; of two equal ones, all instances take the one to
+// the worker with the lower ID.
+type Move struct {
+	Service string `json:"service"`
+	Object  uint64 `json:"object,string"`
+	Worker  string `json:"worker"`
+	Count   uint32 `json:"count"`
+}
+
+// Adopt applies a move that another instance of the region made.
+func (p *Placer) Adopt(now time.Time, m Move) {
+	if m.Count == 0 {
+		return
+	}
+	places := p.placesOf(m.Service)
+	last, ok := places.last[m.Object]
+	if m.Count < last.moves || m.Count == last.moves && m.Worker >= last.id {
+		return
+	}
+	if !ok && len(places.last) >= _maxPlaced {
+		places.forget(now)
+	}
+	places.last[m.Object] = placed{id: m.Worker, at: now, moves: m.Count}
+	p.warm.record(now, m.Object, m.Worker)
+}
+
+// Moves returns the moves of objects that are still at their new place, at most max.
+func (p *Placer) Moves(now time.Time, max int) []Move {
+	var moves []Move
+	for service, places := range p.places {
+		for object, last := range places.last {
+			if len(moves) >= max {
+				return moves
+			}
+			if last.moves > 0 && now.Sub(last.at) < _placeTime {
+				moves = append(moves, Move{service, object, last.id, last.moves})
+			}
+		}
+	}
+	return moves
 }
 
 func (p *Placer) placesOf(service string) *places {
@@ -57,8 +102,9 @@
 	return known
 }
 
-// record records that a request for an object is sent as chosen.
-func (p *places) record(now time.Time, object uint64, c Choice) {
+// record records that a request for an object is sent as chosen. It returns the number
+// of moves of the object.
+func (p *places) record(now time.Time, object uint64, c Choice) uint32 {
 	last, ok := p.last[object]
 	if !ok && len(p.last) >= _maxPlaced {
 		p.forget(now)
@@ -66,11 +112,15 @@
 	if !ok || c.Moves || now.Sub(last.at) >= _placeTime {
 		last.id = c.Worker.ID
 	}
+	if c.Moves {
+		last.moves++
+	}
 	if c.charged != nil {
 		c.charged.left--
 	}
 	last.at = now
 	p.last[object] = last
+	return last.moves
 }
 
 // of returns the ID of the worker, or an empty string if none is remembered.
