A worker that can be reached is avoided from its second failure in a row

Cause: after a single lost or garbled answer an instance avoided the worker for half a second, and all its objects ran cold elsewhere.

TestFailedWorkerIsAvoided asked for it after the first failure of any kind; it now asks that the objects stay after the first, and that it is avoided after the second or at once when unreachable, for each kind of failure.

--- a/placement/state.go
+++ b/placement/state.go
@@ -24,6 +24,10 @@
 	// _breakInterval is the interval within which two broken exchanges mean that the
 	// worker ended. It may restart, cold, before it is found unreachable.
 	_breakInterval = 100 * time.Millisecond
+	// _faultsToAvoid is the number of consecutive failures from which a worker that can
+	// be reached is avoided. Its objects run cold elsewhere meanwhile, which a single
+	// lost or garbled answer is not worth.
+	_faultsToAvoid = 2
 	// _faultBase and _faultMax are the shortest and the longest time for which a
 	// worker is avoided after a failure.
 	_faultBase = 500 * time.Millisecond
@@ -139,8 +143,11 @@
 			s.faults = 0
 		}
 		s.faultAt = now
-		pause := retry.Backoff{Base: _faultBase, Max: _faultMax}.Limit(s.faults)
 		s.faults++
+		if s.faults < _faultsToAvoid && r.Outcome != Unreachable {
+			return
+		}
+		pause := retry.Backoff{Base: _faultBase, Max: _faultMax}.Limit(max(s.faults-_faultsToAvoid, 0))
 		if !now.Before(s.avoidUntil) {
 			p.notify(Condition{Kind: Avoided, Worker: w.ID, Service: w.Service, Outcome: r.Outcome, Faults: s.faults, AvoidFor: pause})
 		}
