Starts are served by neighbours, the strongest read, renewals wait their turn

Two faults noted when the code was read: a renewal in flight at the stop registered the instance again afterwards; a store that always answers that its history is compacted was read in a loop without a pause.

TestStartsFromNeighbour, TestStrongestNeighbourReads, TestNeighboursCauseNoRenewals (10 renewals in 4 s before), TestStopDuringRenewalLeavesNoRegistration (fails before), TestCompactedSnapshotIsNotReadForever.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -110,6 +111,7 @@
 	g.watcher = &watch.Watcher{
 		Feed: g.client, Sink: &platform.Sink{Listener: g}, Interval: _watchInterval, Log: g.Log,
 		Instance: s.Instance, Neighbours: g.neighbours, Peers: &changefeed.Client{Instance: s.Instance},
+		Candidates: g.candidates,
 	}
 	g.changefeed = &changefeed.Server{Source: g.watcher}
 	g.registration = &registration{
@@ -255,11 +257,36 @@
 	members := g.directory.Neighbours()
 	list := make([]watch.Neighbour, 0, len(members))
 	for _, m := range members {
-		list = append(list, watch.Neighbour{Name: m.Name, Address: m.Peers})
+		list = append(list, neighbourOf(m))
 	}
 	return list
 }
 
+func neighbourOf(m directory.Member) watch.Neighbour {
+	return watch.Neighbour{Name: m.Name, Address: m.Peers, Capacity: m.Capacity}
+}
+
+// candidates returns registered instances of the local region, in random order, those
+// of the local zone first. The list may be seconds old.
+func (g *Gateway) candidates(ctx context.Context) ([]watch.Neighbour, error) {
+	items, err := g.client.RangeStale(ctx, platform.ProductKey(_instancePrefix))
+	if err != nil {
+		return nil, err
+	}
+	var near, far []watch.Neighbour
+	for _, i := range rand.Perm(len(items)) {
+		m, err := decodeMember(items[i].Value)
+		switch {
+		case err != nil || m.Region != g.Settings.Region || m.Name == g.Settings.Instance:
+		case m.Zone == g.Settings.Zone:
+			near = append(near, neighbourOf(m))
+		default:
+			far = append(far, neighbourOf(m))
+		}
+	}
+	return append(near, far...), nil
+}
+
 // servingNeighbours returns the addresses of the other instances that serve the callers
 // of the local region.
 func (g *Gateway) servingNeighbours() []string {
@@ -362,13 +389,16 @@
 	}
 	names, peak := g.directory.Names(), g.directory.PeakInstances()
 	neighbours := min(len(g.directory.Neighbours()), directory.MaxPerRegion)
+	lost := name == g.directory.Self.Name && !g.directory.Registered()
 	g.mu.Unlock()
 	g.forward.Update(func(st *forward.State) {
 		st.Instances, st.PeakInstances, st.Neighbours = names, max(st.PeakInstances, peak), neighbours
 	})
 	g.Log.Info("instance known", zap.String("name", name), zap.Bool("gone", value == nil), zap.Int("instances", len(names)),
 		zap.Int("shareRetriesBy", peak), zap.Int("shareRegionBy", neighbours))
-	g.registration.wake()
+	if lost {
+		g.registration.wake()
+	}
 }
 
 // Undecodable counts and logs a key whose value cannot be decoded.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -300,6 +300,35 @@
 	require.Eventually(t, registered, _waitTimeout, _pollInterval)
 }
 
+// TestNeighboursCauseNoRenewals has many other instances register: if each of their keys
+// made an instance renew its own lease, a rolling restart of hundreds of instances would
+// cost each of them a call for each of the others.
+func TestNeighboursCauseNoRenewals(t *testing.T) {
+	kv := standin.NewKV()
+	defer kv.Close()
+	startWorker(t, kv, "i-1", "s1", "a")
+	kv.Write("op/config", configOf(5, "s1"))
+	i := startInstance(t, kv, "edge-1", "a")
+	require.Eventually(t, func() bool { return len(kv.Keys("wigeonlock/instances/edge-1")) == 1 }, _waitTimeout, _pollInterval)
+	renewals := func() int {
+		n := 0
+		for _, line := range strings.Split(i.metrics(t), "\n") {
+			if strings.HasPrefix(line, `wigeonlock_platform_calls_total{call="kv-keep"}`) {
+				_, err := fmt.Sscan(line[strings.LastIndexByte(line, ' '):], &n)
+				require.NoError(t, err)
+			}
+		}
+		return n
+	}
+	before := renewals()
+	const seconds = 4
+	for n := range 20 * seconds {
+		kv.Write(fmt.Sprint("wigeonlock/instances/other-", n), fmt.Sprintf(`{"name":"other-%d","region":"q","zone":"c"}`, n))
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, renewals()-before, seconds)
+}
+
 func TestSettings(t *testing.T) {
 	good := `{"instance":"e","region":"r","zone":"a","zones":[{"name":"a","region":"r"}],
 "callers":{"listen":"127.0.0.1:1"},"readiness":{"listen":"127.0.0.1:2"},"directory":{"listen":"127.0.0.1:3"},
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -41,6 +41,8 @@
 	// wakeups holds a value if run must check the registration at once.
 	wakeups chan struct{}
 
+	// mu is held during the calls of a renewal, so that a renewal that is in flight at
+	// the end cannot register again afterwards.
 	mu        sync.Mutex
 	lease     store.Lease
 	writtenAt time.Time
@@ -68,10 +70,7 @@
 // run maintains the registration until ctx ends.
 func (r *registration) run(ctx context.Context) error {
 	for {
-		r.mu.Lock()
-		ended := r.ended
-		r.mu.Unlock()
-		if !ended && r.ready() == nil {
+		if r.ready() == nil {
 			if err := r.renew(ctx); err != nil {
 				r.log.Warn("registration failed", zap.String("error", err.Error()))
 			}
@@ -90,6 +89,11 @@
 func (r *registration) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return nil
+	}
 	if r.lease != "" {
 		err := r.registry.Renew(ctx, r.lease)
 		if errors.Is(err, store.ErrNotFound) {
@@ -104,6 +108,7 @@
 	return r.register(ctx)
 }
 
+// register writes the key of the instance. The caller holds mu.
 func (r *registration) register(ctx context.Context) error {
 	if r.lease == "" {
 		lease, err := r.registry.Grant(ctx, _registrationTTL)
@@ -129,8 +134,8 @@
 // end revokes the lease and thereby removes the registration.
 func (r *registration) end(ctx context.Context) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.ended = true
-	r.mu.Unlock()
 	if r.lease == "" {
 		return
 	}
--- a/watch/reader.go
+++ b/watch/reader.go
@@ -15,11 +15,14 @@
 type Neighbour struct {
 	Name    string
 	Address string
+	// Capacity ranks the neighbours: the reader sends what it reads to all others, for
+	// which the link of the smallest machines does not suffice in a large region.
+	Capacity float64
 }
 
-// ReaderSelector selects the neighbour that an instance follows: the first by the
-// hash of the names, an order that all instances share, that is not excluded. It
-// is not safe for concurrent use.
+// ReaderSelector selects the neighbour that an instance follows: the first that is not
+// excluded, by capacity and then by the hash of the names, an order that all instances
+// share. It is not safe for concurrent use.
 type ReaderSelector struct {
 	// Self is the name of the instance itself.
 	Self string
@@ -44,7 +47,12 @@
 // the store itself.
 func (s *ReaderSelector) Reader(now time.Time, neighbours []Neighbour) (Neighbour, bool) {
 	sorted := append([]Neighbour(nil), neighbours...)
-	sort.Slice(sorted, func(i, j int) bool { return rank(sorted[i].Name) < rank(sorted[j].Name) })
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].Capacity != sorted[j].Capacity {
+			return sorted[i].Capacity > sorted[j].Capacity
+		}
+		return rank(sorted[i].Name) < rank(sorted[j].Name)
+	})
 	for _, n := range sorted {
 		if n.Name == s.Self {
 			return Neighbour{}, false
--- /dev/null
+++ b/watch/start.go
@@ -0,0 +1,68 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	// _startTimeout is how long an instance that starts waits for the snapshot of one
+	// neighbour before it turns to the next, and then to the store.
+	_startTimeout = 300 * time.Millisecond
+	// _maxCandidates is the number of neighbours that are asked.
+	_maxCandidates = 2
+)
+
+var _neighbourSnapshots = metrics.NewCounter("wigeonlock_follow_neighbour_snapshots_total")
+
+// startFromNeighbour gets the first snapshot from a neighbour, as reading all keys of
+// a large deployment takes a call for each page. A snapshot is taken only if it was
+// read from the store within _maxReadAge: an older one may lack that a worker left. If
+// no neighbour has one, the store is read as usual.
+func (w *Watcher) startFromNeighbour(ctx context.Context) {
+	if w.Candidates == nil || w.Peers == nil {
+		return
+	}
+	listCtx, cancel := context.WithTimeout(ctx, _callTimeout)
+	candidates, err := w.Candidates(listCtx)
+	cancel()
+	if err != nil {
+		w.Log.Info("neighbours are not known, reading the store", zap.String("error", err.Error()))
+		return
+	}
+	for _, n := range candidates[:min(len(candidates), _maxCandidates)] {
+		if w.snapshotFrom(ctx, n) {
+			_neighbourSnapshots.Inc()
+			w.Log.Info("started from the snapshot of a neighbour", zap.String("neighbour", n.Name))
+			return
+		}
+	}
+}
+
+// snapshotFrom applies the snapshot of a neighbour and reports whether it had a recent
+// one.
+func (w *Watcher) snapshotFrom(ctx context.Context, n Neighbour) bool {
+	ctx, cancel := context.WithTimeout(ctx, _startTimeout)
+	defer cancel()
+	snapshots := make(chan Batch, 1)
+	go func() {
+		_ = w.Peers.Follow(ctx, n, 0, func(b Batch) {
+			select {
+			case snapshots <- b:
+			default:
+			}
+			cancel()
+		})
+		close(snapshots)
+	}()
+	b, ok := <-snapshots
+	now := time.Now()
+	if !ok || !b.Full || b.Revision == 0 || now.Sub(b.At) > _maxReadAge {
+		return false
+	}
+	w.apply(now, b, time.Time{})
+	return true
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -98,7 +98,10 @@
 	// Peers connects to the reader. If it is nil, this instance always reads the
 	// store itself.
 	Peers Peers
-	Log   *zap.Logger
+	// Candidates, if set, returns neighbours that may hold a snapshot, before any key was
+	// read. Its list may be old.
+	Candidates func(ctx context.Context) ([]Neighbour, error)
+	Log        *zap.Logger
 
 	mu          sync.Mutex
 	cache       Cache
@@ -140,6 +143,7 @@
 	w.mu.Lock()
 	w.selector.Self = w.Instance
 	w.mu.Unlock()
+	w.startFromNeighbour(ctx)
 	backoff := retry.Backoff{Base: _retryBase, Max: _retryMax}
 	tick := time.NewTicker(_checkInterval)
 	defer tick.Stop()
@@ -277,7 +281,7 @@
 	b, err := w.read(ctx)
 	now := time.Now()
 	switch {
-	case errors.Is(err, store.ErrCompacted):
+	case errors.Is(err, store.ErrCompacted) && !w.compacted:
 		w.compacted = true
 		w.Log.Info("store compacted the needed history, reading a snapshot")
 		return w.poll(ctx)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -140,6 +140,77 @@
 	assert.False(t, found, "an instance without neighbours reads the store itself")
 }
 
+// TestStrongestNeighbourReads orders neighbours by capacity before the hash of names.
+func TestStrongestNeighbourReads(t *testing.T) {
+	all := []watch.Neighbour{{Name: "a", Capacity: 0.2}, {Name: "b", Capacity: 0.2}, {Name: "c", Capacity: 0.2}}
+	for i := range all {
+		list := append([]watch.Neighbour(nil), all...)
+		list[i].Capacity = 0.8
+		reader, found := (&watch.ReaderSelector{Self: "none"}).Reader(time.Unix(1000, 0), list)
+		assert.True(t, found)
+		assert.Equal(t, list[i].Name, reader.Name)
+	}
+}
+
+// TestStartsFromNeighbour starts an instance next to one that reads the store: it gets
+// the snapshot from there without a call, but not one that was read too long ago, from
+// which a worker that left would come back, nor from a neighbour that sends nothing.
+func TestStartsFromNeighbour(t *testing.T) {
+	for name, tt := range map[string]struct {
+		stale, silent, fromNeighbour bool
+	}{
+		"current": {fromNeighbour: true},
+		"stale":   {stale: true},
+		"silent":  {silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old, current := &feed{}, &feed{}
+			old.write("left", false)
+			current.write("left", false)
+			all := []watch.Neighbour{{Name: "n1", Capacity: 1}, {Name: "n2"}}
+			p := &peers{watchers: map[string]*watch.Watcher{}, silent: map[string]bool{"n1": tt.silent}, mute: tt.silent}
+			s := newSink()
+			p.watchers["n1"] = &watch.Watcher{
+				Feed: old, Sink: newSink(), Interval: 50 * time.Millisecond, Instance: "n1", Peers: p,
+				Neighbours: func() []watch.Neighbour { return all },
+			}
+			run(t, p.watchers["n1"])
+			require.Eventually(t, func() bool { return !p.watchers["n1"].ReadAt().IsZero() }, _waitTimeout, _pollInterval)
+			if tt.stale {
+				old.set(func() { old.unavailable = true })
+				current.write("left", true)
+				time.Sleep(1500 * time.Millisecond)
+			}
+			started := &watch.Watcher{
+				Feed: current, Sink: s, Interval: 50 * time.Millisecond, Instance: "n2", Peers: p,
+				Neighbours: func() []watch.Neighbour { return all[1:] },
+				Candidates: func(context.Context) ([]watch.Neighbour, error) { return all[:1], nil },
+			}
+			p.watchers["n2"] = started
+			reads := make(chan int, 1)
+			s.onDone = func() {
+				select {
+				case reads <- current.calls:
+				default:
+				}
+			}
+			run(t, started)
+			first := <-reads
+			assert.Equal(t, tt.fromNeighbour, first == 0, "calls of the store before the first keys: %d", first)
+			assert.Equal(t, !tt.stale, s.has("left"))
+		})
+	}
+}
+
+// TestCompactedSnapshotIsNotReadForever has the store answer each call as if its history
+// were compacted.
+func TestCompactedSnapshotIsNotReadForever(t *testing.T) {
+	f, s := &feed{alwaysCompacted: true}, newSink()
+	run(t, &watch.Watcher{Feed: f, Sink: s, Interval: 50 * time.Millisecond})
+	time.Sleep(500 * time.Millisecond)
+	f.set(func() { assert.Less(t, f.calls, 20) })
+}
+
 // feed is a store that can be written, be unavailable and compact its history.
 type feed struct {
 	mu          sync.Mutex
@@ -149,6 +220,8 @@
 	unavailable bool
 	compacted   bool
 	calls       int
+	// alwaysCompacted makes each call fail with ErrCompacted.
+	alwaysCompacted bool
 	// rangeTime is how long Range takes.
 	rangeTime time.Duration
 }
@@ -187,6 +260,9 @@
 	if f.unavailable {
 		return nil, 0, store.ErrUnavailable
 	}
+	if f.alwaysCompacted {
+		return nil, 0, store.ErrCompacted
+	}
 	var list []store.Item
 	for _, i := range f.items {
 		list = append(list, i)
@@ -221,6 +297,8 @@
 	tentative map[string]time.Time
 	failures  int
 	reads     int
+	// onDone, if set, is called after each read.
+	onDone func()
 }
 
 func newSink() *sink { return &sink{keys: map[string]bool{}, tentative: map[string]time.Time{}} }
@@ -243,6 +321,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	if s.onDone != nil {
+		s.onDone()
+	}
 }
 
 func (s *sink) ReadFailed(time.Time, error) {
@@ -332,6 +413,8 @@
 	follows  int
 	// snapshots counts the followers that were sent a snapshot.
 	snapshots int
+	// mute is set if a neighbour does not send what was missed either.
+	mute bool
 }
 
 func (p *peers) Follow(ctx context.Context, n watch.Neighbour, after store.Revision, deliver func(watch.Batch)) error {
@@ -349,7 +432,12 @@
 		p.snapshots++
 		p.mu.Unlock()
 	}
-	deliver(missed)
+	p.mu.Lock()
+	mute := p.mute
+	p.mu.Unlock()
+	if !mute {
+		deliver(missed)
+	}
 	for {
 		select {
 		case <-ctx.Done():
