Answers without end are bounded; a refusal that names no request is no promise

Shown by tests that failed: bytes without end in a head took 11 GB in 10 s (header line), and interim answers, chunks and a stated length ran until the deadline of the request; a body without a length grew to 64 MB for each of any number of answers. A late copy of a refusal without a request ID, on a connection in use again, told the next caller that its request had not run while the worker ran it.

A refusal without an ID counts only on a connection that was not used before.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +24,7 @@
 // conn is a connection to a worker.
 type conn struct {
 	net.Conn
+	limit  *limitedReader
 	reader *bufio.Reader
 	// used is set once an exchange on the connection ended cleanly.
 	used   bool
@@ -35,7 +37,32 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, _readBuffer), opened: time.Now(), idleLimit: _defaultIdle}
+	limit := &limitedReader{r: nc, left: _unlimited}
+	return &conn{
+		Conn: nc, limit: limit, reader: bufio.NewReaderSize(limit, _readBuffer), opened: time.Now(), idleLimit: _defaultIdle,
+	}
+}
+
+// _unlimited is a number of bytes that no answer reaches.
+const _unlimited = 1 << 62
+
+// limitedReader limits the bytes that are read for the head of an answer.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+	// exceeded is set once the limit was reached; the parser may hide the error.
+	exceeded bool
+}
+
+// Read returns errTooLarge once the limit is reached.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		l.exceeded = true
+		return 0, errTooLarge
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
 }
 
 func (c *conn) close() {
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,9 +16,9 @@
 )
 
 const (
-	// _maxBody is the maximum size of the body of an answer, in bytes; it is held
-	// in memory.
-	_maxBody = 64 << 20
+	// _maxHead is the maximum size of the head of an answer, together with interim
+	// answers before it, in bytes.
+	_maxHead = 64 << 10
 	// _maxSingleWrite is the size in bytes up to which a body is written together
 	// with the head, before the answer is read. A longer body is written while the
 	// answer is read, since the worker may answer before it has read the body.
@@ -183,33 +182,42 @@
 // requests before it.
 func (p *Pool) receive(c *conn, r *relay.Request, result *Result) error {
 	for range _maxStray + 1 {
-		answer, err := readReply(c, r)
+		answer, err := p.readReply(c, r)
 		if err != nil {
 			return err
 		}
-		if p.matches(answer, r) {
+		if p.matches(c, answer, r) {
 			return p.accept(c, answer, r, result)
 		}
+		if p.notRun(answer) && answer.header.Get(p.HeaderNames.RequestID) == "" {
+			_unnamedRefusals.Inc()
+			return errStray
+		}
 		_strays.Inc()
 	}
 	return errStray
 }
 
 // readReply reads one complete answer. Interim (1xx) answers are skipped.
-func readReply(c *conn, r *relay.Request) (*reply, error) {
+func (p *Pool) readReply(c *conn, r *relay.Request) (*reply, error) {
+	c.limit.left = _maxHead
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, err
+		if c.limit.exceeded {
+			return nil, errTooLarge
 		}
-		body, err := readBody(resp)
-		_ = resp.Body.Close()
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
+		c.limit.left = _unlimited
+		body, err := p.readBody(resp)
+		// Close would read the rest of a body that was given up.
+		if err != nil {
+			return nil, err
+		}
 		return &reply{
 			status: resp.StatusCode, header: resp.Header, body: body, length: resp.ContentLength,
 			closing: resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
@@ -217,29 +225,13 @@
 	}
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > _maxBody {
-		return nil, errTooLarge
-	}
-	buf := bytes.NewBuffer(make([]byte, 0, max(min(resp.ContentLength, 1<<20), bytes.MinRead)))
-	n, err := io.Copy(buf, io.LimitReader(resp.Body, _maxBody+1))
-	switch {
-	case err != nil:
-		return nil, err
-	case n > _maxBody:
-		return nil, errTooLarge
-	case resp.ContentLength > 0 && n < resp.ContentLength && resp.Request.Method != http.MethodHead:
-		return nil, io.ErrUnexpectedEOF
-	}
-	return buf.Bytes(), nil
-}
-
 // matches reports whether an answer belongs to a request. A refusal need not carry
-// the request's ID.
-func (p *Pool) matches(a *reply, r *relay.Request) bool {
+// the request's ID, but on a connection that was used before it may be a late copy of
+// one to an earlier request, while the worker runs this one.
+func (p *Pool) matches(c *conn, a *reply, r *relay.Request) bool {
 	id := a.header.Get(p.HeaderNames.RequestID)
 	if id == "" {
-		return p.notRun(a)
+		return p.notRun(a) && !c.used
 	}
 	return id == r.ID
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -152,6 +153,11 @@
 	// closed an idle connection before its stated timeout: the worker may have
 	// ended.
 	OnIdleClose func(address string)
+	// BodyBudget limits the memory of the large bodies that are being read at a time, in
+	// bytes. 0 is _defaultBodyBudget.
+	BodyBudget int64
+
+	bodies atomic.Int64
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -164,7 +170,9 @@
 	_stale      = metrics.NewCounter("wigeonlock_worker_connections_stale_total")
 	_idleCloses = metrics.NewCounter("wigeonlock_worker_hangups_total")
 	_strays     = metrics.NewCounter("wigeonlock_stray_answers_total")
-	_surpluses  = metrics.NewCounter("wigeonlock_surplus_bytes_total")
+	// _unnamedRefusals counts refusals that may be copies of earlier ones.
+	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
+	_surpluses       = metrics.NewCounter("wigeonlock_surplus_bytes_total")
 )
 
 // acquire removes and returns an idle connection that may be reused, or nil. Only
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	// _stopShare is the fraction of the stop timeout after which the instance no
 	// longer waits for pending requests.
 	_stopShare = 0.9
+	// _bodyShare is the part of the memory that large bodies of answers may take while
+	// they are read.
+	_bodyShare = 0.25
 	// Limits on callers until a configuration is received; sizes are in bytes.
 	_headerBytes   = 16 << 10
 	_bodyBytes     = 64 << 20
@@ -87,7 +90,7 @@
 	g := &Gateway{Settings: s, Log: log.With(zap.String("instance", s.Instance)), startedAt: time.Now()}
 	g.configuredAt = g.startedAt
 	g.client = platform.NewClient(s.Store.Address)
-	g.pool = &exchange.Pool{HeaderNames: platform.WorkerHeaders()}
+	g.pool = &exchange.Pool{HeaderNames: platform.WorkerHeaders(), BodyBudget: int64(float64(s.MemoryMb) * _bodyShare * (1 << 20))}
 	zones := make(map[string]string, len(s.Zones))
 	for _, z := range s.Zones {
 		zones[z.Name] = z.Region
