What callers sent before a stop is answered; a panic ends one request

Shown by tests that failed: a stop reset connections that were not accepted yet and closed idle ones and half-read bodies without an answer, although requests lay in their buffers; a panic in a request's handler, or at a value of the store, ended the process.

Changes: at the stop the listener accepts for another 50 ms what waits in its queue, connections wait 100 ms for a first byte, and a request of which a part was read is read to its end. kernel.Guard contains the work on one request, change or datagram; the caller gets 502, which promises nothing, and a counter and a log line with the stack.

TestShutdownAnswersWhatWasSent, TestPanicEndsOneRequest, TestPanicLeavesOutOneKey.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -12,8 +12,11 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
 )
 
 const (
@@ -42,6 +45,10 @@
 
 	mu      sync.Mutex
 	stopped bool
+	// awaiting is set while the connection waits for the first byte of a request, until
+	// lastRead if that is not zero.
+	awaiting bool
+	lastRead time.Time
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -92,10 +99,35 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// finish ends the connection unless the first byte of a request arrives until a time.
+// A request of which a part was read is read to its end.
+func (c *conn) finish(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastRead = until
+	if c.awaiting && !c.stopped {
+		_ = c.SetReadDeadline(until)
+	}
+}
+
+// await sets whether the connection waits for a request, at most until a time.
+func (c *conn) await(awaiting bool, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = awaiting
+	if !awaiting || c.stopped {
+		return
+	}
+	if !c.lastRead.IsZero() && c.lastRead.Before(until) {
+		until = c.lastRead
+	}
+	_ = c.SetReadDeadline(until)
+}
+
 func (c *conn) isStopped() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.stopped
+	return c.stopped || !c.lastRead.IsZero() && !time.Now().Before(c.lastRead)
 }
 
 // serve reads and starts requests until the caller disconnects or an answer
@@ -141,9 +173,10 @@
 	for {
 		limits := c.server.Limits()
 		since := time.Unix(0, c.idleSince.Load())
-		c.setReadDeadline(since.Add(limits.IdleTime))
+		c.await(true, since.Add(limits.IdleTime))
 		c.limit.left = _unlimited
 		_, err := c.reader.Peek(1)
+		c.await(false, time.Time{})
 		if err == nil || !c.isTimeout(err) || c.isStopped() || c.closing.Load() {
 			return err
 		}
@@ -325,15 +358,37 @@
 			c.write(nil, errorAnswer(reqErr), true)
 			return
 		}
+		answer := c.handle(r, previous)
+		<-previous
+		if answer != nil {
+			c.write(r, answer, r.CloseConn)
+		}
+	}()
+	return done
+}
+
+// handle returns the answer to a request, or nil if the caller was told by the end of
+// its connection that the request was not read. A panic of the handler becomes an answer
+// that promises nothing.
+func (c *conn) handle(r *relay.Request, previous <-chan struct{}) (answer *relay.Answer) {
+	err := kernel.Guard(func() error {
 		if c.server.Handler.Exclusive(r) {
 			<-previous
 			if c.closing.Load() || c.ctx.Err() != nil {
-				return
+				return nil
 			}
 		}
-		answer := c.server.Handler.Handle(c.ctx, r)
-		<-previous
-		c.write(r, answer, r.CloseConn)
-	}()
-	return done
+		answer = c.server.Handler.Handle(c.ctx, r)
+		return nil
+	})
+	if err == nil {
+		return answer
+	}
+	_panics.Inc()
+	if c.server.Log != nil {
+		c.server.Log.Error("request panicked", zap.String("request", r.ID), zap.Error(err))
+	}
+	answer = Refusal(http.StatusBadGateway, relay.Internal, "the request may have run")
+	answer.Outcome = retry.Unknown
+	return answer
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -24,6 +24,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"github.com/wigeonlock/wigeonlock/relay"
 )
@@ -37,6 +38,10 @@
 	// _lingerTimeout is how long a closing connection is still read, so that a
 	// reset does not discard the last answer.
 	_lingerTimeout = 500 * time.Millisecond
+	// _lastAcceptTime and _lastReadTime are how long connections are accepted, and how
+	// long connections wait for the first byte of a request, once the server shuts down.
+	_lastAcceptTime = 50 * time.Millisecond
+	_lastReadTime   = 100 * time.Millisecond
 	// _bodyReadTimeout is the longest wait for the next bytes of a request body.
 	_bodyReadTimeout = 5 * time.Second
 )
@@ -74,20 +79,26 @@
 	Handler     Handler
 	// Limits returns the active limits.
 	Limits func() Limits
+	// Log, if set, gets panics of the handler.
+	Log *zap.Logger
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*conn]struct{}
+	// served is closed when Serve returns.
+	served chan struct{}
+	conns  map[*conn]struct{}
+	// lastRead is the time until which connections wait for a further request; zero
+	// before Shutdown.
+	lastRead time.Time
 	// closeAfterAnswer is set when answers close their connections.
 	closeAfterAnswer atomic.Bool
-	// closing is set when no more requests are accepted.
-	closing atomic.Bool
-	active  sync.WaitGroup
+	active           sync.WaitGroup
 }
 
 var (
 	_accepted    = metrics.NewCounter("wigeonlock_caller_connections_total")
 	_requests    = metrics.NewCounter("wigeonlock_caller_requests_total")
+	_panics      = metrics.NewCounter("wigeonlock_request_panics_total")
 	_disconnects = metrics.NewCounter("wigeonlock_callers_left_total")
 )
 
@@ -96,12 +107,15 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
+	s.served = make(chan struct{})
 	s.conns = make(map[*conn]struct{})
 	s.mu.Unlock()
+	defer close(s.served)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
-			if s.closing.Load() {
+			if s.isClosing() {
+				_ = l.Close()
 				return nil
 			}
 			var netErr net.Error
@@ -112,23 +126,25 @@
 		}
 		_accepted.Inc()
 		c := newConn(s, nc)
-		if !s.add(c) {
-			_ = nc.Close()
-			continue
-		}
+		s.add(c)
 		go c.serve()
 	}
 }
 
-func (s *Server) add(c *conn) bool {
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lastRead.IsZero()
+}
+
+func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing.Load() {
-		return false
-	}
 	s.conns[c] = struct{}{}
 	s.active.Add(1)
-	return true
+	if !s.lastRead.IsZero() {
+		c.finish(s.lastRead)
+	}
 }
 
 func (s *Server) remove(c *conn) {
@@ -144,25 +160,40 @@
 	s.closeAfterAnswer.Store(true)
 }
 
-// Shutdown stops accepting requests and waits until all are answered or ctx ends.
+// Shutdown stops accepting requests and waits until all are answered or ctx ends. A
+// request that a caller has sent before is still accepted, also on a connection that was
+// not accepted yet: closed unread, it would be lost without an answer.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.closeAfterAnswer.Store(true)
 	s.mu.Lock()
-	s.closing.Store(true)
-	if s.listener != nil {
-		_ = s.listener.Close()
+	if s.lastRead.IsZero() {
+		s.lastRead = time.Now().Add(_lastReadTime)
 	}
 	for c := range s.conns {
-		c.stopReading()
+		c.finish(s.lastRead)
 	}
+	listener, served := s.listener, s.served
 	s.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
+		defer close(done)
+		if listener != nil {
+			stopAccepting(listener)
+			<-served
+		}
 		s.active.Wait()
-		close(done)
 	}()
 	select {
 	case <-done:
 	case <-ctx.Done():
 	}
 }
+
+// stopAccepting makes a listener accept the connections that wait, and then fail.
+func stopAccepting(l net.Listener) {
+	type deadliner interface{ SetDeadline(t time.Time) error }
+	if d, ok := l.(deadliner); ok && d.SetDeadline(time.Now().Add(_lastAcceptTime)) == nil {
+		return
+	}
+	_ = l.Close()
+}
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -29,6 +29,8 @@
 	running    int
 	maxRunning int
 	release    map[string]chan struct{}
+	// panics is the path of requests at which the handler panics.
+	panics string
 }
 
 func (h *handler) wait(path string) chan struct{} {
@@ -38,6 +40,9 @@
 }
 
 func (h *handler) Handle(ctx context.Context, r *relay.Request) *relay.Answer {
+	if r.URI == h.panics {
+		panic("bad request")
+	}
 	h.mu.Lock()
 	h.started = append(h.started, r.URI)
 	h.running++
@@ -267,6 +272,72 @@
 	<-finished
 }
 
+// TestShutdownAnswersWhatWasSent has callers send requests right before the shutdown: on
+// connections that are not accepted yet, on idle ones, pipelined, and a body of which a
+// part has arrived. Each gets a whole answer.
+func TestShutdownAnswersWhatWasSent(t *testing.T) {
+	for range 5 {
+		s, address := start(t, &handler{}, _limits)
+		type caller struct {
+			reader  *bufio.Reader
+			answers int
+		}
+		var callers []caller
+		idle := func() (net.Conn, *bufio.Reader) {
+			c, r := dial(t, address)
+			_, err := io.WriteString(c, get("/0"))
+			require.NoError(t, err)
+			read(t, r)
+			return c, r
+		}
+		reused, reusedReader := idle()
+		piped, pipedReader := idle()
+		uploads, uploadsReader := idle()
+		_, err := io.WriteString(uploads, "POST /u HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 8\r\n\r\nhalf")
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+		_, err = io.WriteString(reused, get("/1"))
+		require.NoError(t, err)
+		_, err = io.WriteString(piped, get("/1")+get("/2")+get("/3"))
+		require.NoError(t, err)
+		callers = append(callers, caller{reusedReader, 1}, caller{pipedReader, 3}, caller{uploadsReader, 1})
+		for range 30 {
+			c, r := dial(t, address)
+			_, err := io.WriteString(c, get("/n"))
+			require.NoError(t, err)
+			callers = append(callers, caller{r, 1})
+		}
+		finished := make(chan struct{})
+		go func() {
+			defer close(finished)
+			s.Shutdown(context.Background())
+		}()
+		time.Sleep(150 * time.Millisecond)
+		_, err = io.WriteString(uploads, "rest")
+		require.NoError(t, err)
+		for _, c := range callers {
+			for range c.answers {
+				resp, _ := read(t, c.reader)
+				assert.Equal(t, http.StatusOK, resp.status)
+			}
+		}
+		<-finished
+	}
+}
+
+// TestPanicEndsOneRequest has the handler panic: that caller gets an answer that promises
+// nothing, the others are served, and the process goes on.
+func TestPanicEndsOneRequest(t *testing.T) {
+	_, address := start(t, &handler{panics: "/bad"}, _limits)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+get("/bad")+get("/2"))
+	require.NoError(t, err)
+	for _, status := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK} {
+		resp, _ := read(t, r)
+		assert.Equal(t, status, resp.status)
+	}
+}
+
 // TestCallerAsksToClose checks that the connection closes after the answer if the
 // caller asks for it or speaks HTTP/1.0.
 func TestCallerAsksToClose(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 	g.limits = frontend.Limits{
 		HeaderBytes: _headerBytes, BodyBytes: _bodyBytes, HeaderTime: _headerTimeout, IdleTime: _idleTimeout,
 	}
-	g.frontend = &frontend.Server{HeaderNames: platform.CallerHeaders(), Handler: g.forward, Limits: g.currentLimits}
+	g.frontend = &frontend.Server{HeaderNames: platform.CallerHeaders(), Handler: g.forward, Limits: g.currentLimits, Log: g.Log}
 	g.directory.Self = directory.Member{
 		Name: s.Instance, Address: s.Callers.Address(), Zone: s.Zone, Region: s.Region,
 		Peers: s.Peers.Address(), Started: g.startedAt.UnixMilli(), Capacity: s.capacity(),
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -107,7 +107,7 @@
 // stops the kernel.
 func (k *Kernel) Go(name string, task func(ctx context.Context) error) {
 	k.tasks.Go(func() {
-		err := guard(func() error { return task(k.ctx) })
+		err := Guard(func() error { return task(k.ctx) })
 		if err == nil || (errors.Is(err, context.Canceled) && k.ctx.Err() != nil) {
 			return
 		}
@@ -149,7 +149,7 @@
 			return i, errors.Errorf("service %q: name is used twice", s.Name())
 		}
 		seen[s.Name()] = struct{}{}
-		err := guard(func() error { return s.Start(ctx, k) })
+		err := Guard(func() error { return s.Start(ctx, k) })
 		if err != nil {
 			return i, errors.Wrapf(err, "start service %q", s.Name())
 		}
@@ -168,7 +168,7 @@
 	var first error
 	for i := started - 1; i >= 0; i-- {
 		s := k.Services[i]
-		err := guard(func() error { return s.Stop(stopCtx) })
+		err := Guard(func() error { return s.Stop(stopCtx) })
 		if err != nil && first == nil {
 			first = errors.Wrapf(err, "stop service %q", s.Name())
 		}
@@ -178,8 +178,9 @@
 	return first
 }
 
-// guard calls f and returns its error, or its panic as an error.
-func guard(f func() error) error {
+// Guard calls f and returns its error, or its panic as an error with the stack. It is
+// for work on one message or request, whose panic must not end the process.
+func Guard(f func() error) error {
 	var (
 		catcher panics.Catcher
 		err     error
--- a/movefeed/movefeed.go
+++ b/movefeed/movefeed.go
@@ -24,6 +24,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/placement"
 )
 
@@ -150,7 +151,9 @@
 		return
 	}
 	_heard.Add(len(m.Moves))
-	f.Moves.AdoptMoves(m.Moves)
+	if err := kernel.Guard(func() error { f.Moves.AdoptMoves(m.Moves); return nil }); err != nil {
+		f.Log.Error("moves panicked", zap.Error(err))
+	}
 	select {
 	case answered <- struct{}{}:
 	default:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,6 +83,7 @@
 	UnknownRoute       Reason = "unknownRoute"
 	RetryBudget        Reason = "retryBudget"
 	NoWorkers          Reason = "noWorkers"
+	Internal           Reason = "internal"
 )
 
 // Header is one header field.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -29,6 +29,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/store"
 )
@@ -134,6 +135,7 @@
 	_reads         = metrics.NewCounter("wigeonlock_follow_readings_total")
 	_changes       = metrics.NewCounter("wigeonlock_follow_changes_total")
 	_failures      = metrics.NewCounter("wigeonlock_follow_failures_total")
+	_panics        = metrics.NewCounter("wigeonlock_follow_panics_total")
 	_behind        = metrics.NewCounter("wigeonlock_follow_behind_total")
 	_readerChanges = metrics.NewCounter("wigeonlock_follow_leader_changes_total")
 )
@@ -357,12 +359,7 @@
 	forwarded := Batch{Revision: b.Revision, At: b.At}
 	for _, c := range changes {
 		_changes.Inc()
-		if c.Deleted {
-			w.Sink.Delete(now, c.Key, c.Revision, c.TentativeUntil)
-			forwarded.Changes = append(forwarded.Changes, c)
-			continue
-		}
-		if w.Sink.Put(now, c.Item) {
+		if w.deliver(now, c) {
 			w.cache.RecordUpdate(c)
 			forwarded.Changes = append(forwarded.Changes, c)
 		}
@@ -379,6 +376,25 @@
 	}
 }
 
+// deliver passes a change to the sink and reports whether neighbours need it. A key whose
+// value makes the sink panic is left out, as one that cannot be decoded.
+func (w *Watcher) deliver(now time.Time, c Change) (needed bool) {
+	err := kernel.Guard(func() error {
+		if c.Deleted {
+			w.Sink.Delete(now, c.Key, c.Revision, c.TentativeUntil)
+			needed = true
+			return nil
+		}
+		needed = w.Sink.Put(now, c.Item)
+		return nil
+	})
+	if err != nil {
+		_panics.Inc()
+		w.Log.Error("change panicked", zap.String("key", c.Key), zap.Error(err))
+	}
+	return needed
+}
+
 // Subscribe returns the changes since a revision and a channel of the batches
 // read from then on. The channel is closed when the subscriber does not keep up;
 // the caller calls end to unsubscribe. It returns ErrBehind if not all changes
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// TestPanicLeavesOutOneKey has a value make the sink panic: the other keys are delivered
+// and the watcher goes on.
+func TestPanicLeavesOutOneKey(t *testing.T) {
+	f, s := &feed{}, newSink()
+	s.panicsAt = "bad"
+	for _, key := range []string{"a", "bad", "c"} {
+		f.write(key, false)
+	}
+	run(t, &watch.Watcher{Feed: f, Sink: s, Interval: 10 * time.Millisecond})
+	require.Eventually(t, func() bool { return s.has("a") && s.has("c") }, _waitTimeout, _pollInterval)
+	f.write("bad", false)
+	f.write("d", false)
+	require.Eventually(t, func() bool { return s.has("d") }, _waitTimeout, _pollInterval)
+	assert.False(t, s.has("bad"))
+}
+
 // TestCompactedSnapshotIsNotReadForever has the store answer each call as if its history
 // were compacted.
 func TestCompactedSnapshotIsNotReadForever(t *testing.T) {
@@ -297,6 +313,8 @@
 	tentative map[string]time.Time
 	failures  int
 	reads     int
+	// panicsAt is the key at which Put panics.
+	panicsAt string
 	// onDone, if set, is called after each read.
 	onDone func()
 }
@@ -306,6 +324,9 @@
 func (s *sink) Put(_ time.Time, i store.Item) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if i.Key == s.panicsAt && i.Key != "" {
+		panic("bad value")
+	}
 	s.keys[i.Key] = true
 	return true
 }
