--- /dev/null
+++ b/backend/http/http_test.go
@@ -0,0 +1,107 @@
+package http_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeonlock/wigeonlock/backend"
+	backendhttp "github.com/wigeonlock/wigeonlock/backend/http"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+// workerOf answers each request on a connection with the bytes that a script returns.
+func workerOf(t *testing.T, script func(n int, r *http.Request, c net.Conn) string) backend.Worker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.WriteString(c, script(n, r, c)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return backend.Worker{Name: "w", Address: l.Addr().String()}
+}
+
+func handle(t *testing.T, transport *backendhttp.Transport, w backend.Worker, id string) (*relay.Answer, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	a, _ := transport.Handle(ctx, w, &relay.Request{ID: id, Method: http.MethodGet, URI: "/", Body: &relay.Body{}})
+	if a.Body == nil {
+		return a, ""
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return a, "broken"
+	}
+	return a, string(body)
+}
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", relay.HeaderRequestID, id, len(body), body)
+}
+
+// TestLateCopyIsNoAnswer has a worker send a second copy of an answer when the next
+// request is already on the connection: the next caller must not get it.
+func TestLateCopyIsNoAnswer(t *testing.T) {
+	w := workerOf(t, func(n int, r *http.Request, _ net.Conn) string {
+		own := answerTo(r.Header.Get(relay.HeaderRequestID), "own")
+		if n == 1 {
+			return own
+		}
+		return answerTo("r1", "copy") + own
+	})
+	transport := &backendhttp.Transport{Connections: 1}
+	_, body := handle(t, transport, w, "r1")
+	assert.Equal(t, "own", body)
+	for n := 2; n < 6; n++ {
+		a, body := handle(t, transport, w, fmt.Sprint("r", n))
+		assert.NotEqual(t, "copy", body)
+		if a.Outcome == retry.Run {
+			assert.Equal(t, "own", body)
+		}
+	}
+}
+
+// TestEndlessHeadEnds has a worker send a head without end.
+func TestEndlessHeadEnds(t *testing.T) {
+	w := workerOf(t, func(_ int, _ *http.Request, c net.Conn) string {
+		var err error
+		for err == nil {
+			_, err = io.WriteString(c, "HTTP/1.1 200 OK and more and more and more and more and more")
+		}
+		return ""
+	})
+	started := time.Now()
+	a, _ := handle(t, &backendhttp.Transport{Connections: 1}, w, "r1")
+	assert.Equal(t, retry.Unknown, a.Outcome)
+	assert.Less(t, time.Since(started), 3*time.Second)
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -300,6 +300,36 @@
 	require.Eventually(t, registered, _waitTimeout, _pollInterval)
 }
 
+// TestSilentWorkerKeepsItsRequest has the entry of a worker lapse while it runs a request,
+// as when the worker is slow to report: the request goes on there and is not sent again.
+func TestSilentWorkerKeepsItsRequest(t *testing.T) {
+	kv := standin.NewKV()
+	defer kv.Close()
+	silent := startWorker(t, kv, "i-1", "s1", "a")
+	kv.Write("op/config", configOf(5, "s1"))
+	i := startInstance(t, kv, "edge-1", "a")
+	require.Eventually(t, i.answered("/r/x", http.StatusOK, "i-1"), _waitTimeout, _pollInterval)
+	other := startWorker(t, kv, "i-2", "s1", "b")
+	release := make(chan struct{})
+	silent.mu.Lock()
+	silent.release = release
+	before := silent.served
+	silent.mu.Unlock()
+	done := make(chan string, 1)
+	go func() {
+		_, body, err := i.get("/r/x")
+		assert.NoError(t, err)
+		done <- body
+	}()
+	require.Eventually(t, func() bool { return silent.count() > before || other.count() > 0 }, _waitTimeout, _pollInterval)
+	kv.Delete("servers/i-1")
+	time.Sleep(1300 * time.Millisecond)
+	close(release)
+	body := <-done
+	assert.Equal(t, 1, silent.count()-before+other.count(), "the request runs once")
+	assert.Contains(t, []string{"i-1", "i-2"}, body)
+}
+
 // TestNeighboursCauseNoRenewals has many other instances register: if each of their keys
 // made an instance renew its own lease, a rolling restart of hundreds of instances would
 // cost each of them a call for each of the others.
