After a mass kill, instances that serve no callers wait for one that reads the store

Cause: 295 instances that are killed together each read all pages of the store at the same moment, three pages and some 175 kB each, on the store's one link; callers are sent to fifteen of them.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -179,6 +179,12 @@
 	return slices.DeleteFunc(d.selectMembers(d.Self.Region), func(m Member) bool { return m.Name == d.Self.Name })
 }
 
+// Serves reports whether callers of the local region are sent to this instance, as far as
+// the registrations tell.
+func (d *Directory) Serves() bool {
+	return slices.ContainsFunc(d.selectMembers(d.Self.Region), func(m Member) bool { return m.Name == d.Self.Name })
+}
+
 // selected returns the sorted addresses of a region that callers are given.
 func (d *Directory) selected(region string) []string {
 	var addresses []string
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -102,3 +102,20 @@
 	}
 	assert.Len(t, d.Choose("nowhere", nil), directory.MaxAddresses)
 }
+
+// TestServes ranks an instance among the registered ones of its region: callers are sent
+// to the strongest.
+func TestServes(t *testing.T) {
+	d := &directory.Directory{Self: directory.Member{Name: "self", Zone: "a", Region: "r", Capacity: 0.5}, Serving: true}
+	assert.True(t, d.Serves())
+	for n := range 2 * directory.MaxPerRegion {
+		d.Put(directory.Member{Name: fmt.Sprint("weak-", n), Zone: "a", Region: "r", Capacity: 0.1})
+		d.Put(directory.Member{Name: fmt.Sprint("elsewhere-", n), Zone: "b", Region: "q", Capacity: 2})
+	}
+	assert.True(t, d.Serves())
+	for n := range directory.MaxPerRegion {
+		d.Put(directory.Member{Name: fmt.Sprint("strong-", n), Zone: "a", Region: "r", Capacity: 1})
+	}
+	assert.False(t, d.Serves())
+	assert.Len(t, d.ServingNeighbours(), directory.MaxPerRegion)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,7 +114,7 @@
 	g.watcher = &watch.Watcher{
 		Feed: g.client, Sink: &platform.Sink{Listener: g}, Interval: _watchInterval, Log: g.Log,
 		Instance: s.Instance, Neighbours: g.neighbours, Peers: &changefeed.Client{Instance: s.Instance},
-		Candidates: g.candidates,
+		Start: g.start,
 	}
 	g.changefeed = &changefeed.Server{Source: g.watcher}
 	g.registration = &registration{
@@ -269,25 +269,27 @@
 	return watch.Neighbour{Name: m.Name, Address: m.Peers, Capacity: m.Capacity}
 }
 
-// candidates returns registered instances of the local region, in random order, those
-// of the local zone first. The list may be seconds old.
-func (g *Gateway) candidates(ctx context.Context) ([]watch.Neighbour, error) {
+// start lists the registered instances of the local region, those that callers are sent
+// to first, in random order: after all were killed, they read the store, and the others
+// wait for them. The list may be seconds old.
+func (g *Gateway) start(ctx context.Context) (watch.Start, error) {
 	items, err := g.client.RangeStale(ctx, platform.ProductKey(_instancePrefix))
 	if err != nil {
-		return nil, err
+		return watch.Start{}, err
 	}
-	var near, far []watch.Neighbour
-	for _, i := range rand.Perm(len(items)) {
-		m, err := decodeMember(items[i].Value)
-		switch {
-		case err != nil || m.Region != g.Settings.Region || m.Name == g.Settings.Instance:
-		case m.Zone == g.Settings.Zone:
-			near = append(near, neighbourOf(m))
-		default:
-			far = append(far, neighbourOf(m))
+	known := directory.Directory{Self: g.directory.Self, Serving: true}
+	for _, item := range items {
+		if m, err := decodeMember(item.Value); err == nil && m.Region == g.Settings.Region {
+			known.Put(m)
 		}
 	}
-	return append(near, far...), nil
+	serving := known.ServingNeighbours()
+	start := watch.Start{Patient: len(serving) > 0 && !known.Serves()}
+	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
+	for _, m := range serving {
+		start.Candidates = append(start.Candidates, neighbourOf(m))
+	}
+	return start, nil
 }
 
 // servingNeighbours returns the addresses of the other instances that serve the callers
--- a/watch/start.go
+++ b/watch/start.go
@@ -12,32 +12,62 @@
 	// _startTimeout is how long an instance that starts waits for the snapshot of one
 	// neighbour before it turns to the next, and then to the store.
 	_startTimeout = 300 * time.Millisecond
-	// _maxCandidates is the number of neighbours that are asked.
+	// _maxCandidates is the number of neighbours that are asked in a round, and
+	// _patientRounds the number of rounds of an instance that can wait, _roundInterval
+	// apart.
 	_maxCandidates = 2
+	_patientRounds = 4
+	_roundInterval = 250 * time.Millisecond
 )
 
+// Start is how an instance without any keys begins.
+type Start struct {
+	// Candidates are neighbours that may hold a snapshot, the likeliest first.
+	Candidates []Neighbour
+	// Patient is set if the instance can wait for a neighbour to read the store first, as
+	// callers are sent to others.
+	Patient bool
+}
+
 var _neighbourSnapshots = metrics.NewCounter("wigeonlock_follow_neighbour_snapshots_total")
 
 // startFromNeighbour gets the first snapshot from a neighbour, as reading all keys of
-// a large deployment takes a call for each page. A snapshot is taken only if it was
+// a large deployment takes a call for each page, and hundreds of instances that were
+// killed together would delay each other at the store. A snapshot is taken only if it was
 // read from the store within _maxReadAge: an older one may lack that a worker left. If
 // no neighbour has one, the store is read as usual.
 func (w *Watcher) startFromNeighbour(ctx context.Context) {
-	if w.Candidates == nil || w.Peers == nil {
+	if w.Start == nil || w.Peers == nil {
 		return
 	}
 	listCtx, cancel := context.WithTimeout(ctx, _callTimeout)
-	candidates, err := w.Candidates(listCtx)
+	start, err := w.Start(listCtx)
 	cancel()
 	if err != nil {
 		w.Log.Info("neighbours are not known, reading the store", zap.String("error", err.Error()))
 		return
 	}
-	for _, n := range candidates[:min(len(candidates), _maxCandidates)] {
-		if w.snapshotFrom(ctx, n) {
-			_neighbourSnapshots.Inc()
-			w.Log.Info("started from the snapshot of a neighbour", zap.String("neighbour", n.Name))
+	rounds := 1
+	if start.Patient {
+		rounds = _patientRounds
+	}
+	for round := range rounds {
+		began := time.Now()
+		for i := range min(len(start.Candidates), _maxCandidates) {
+			n := start.Candidates[(round+i)%len(start.Candidates)]
+			if w.snapshotFrom(ctx, n) {
+				_neighbourSnapshots.Inc()
+				w.Log.Info("started from the snapshot of a neighbour", zap.String("neighbour", n.Name))
+				return
+			}
+		}
+		if round == rounds-1 {
+			return
+		}
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(_roundInterval - time.Since(began)):
 		}
 	}
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -99,10 +99,9 @@
 	// Peers connects to the reader. If it is nil, this instance always reads the
 	// store itself.
 	Peers Peers
-	// Candidates, if set, returns neighbours that may hold a snapshot, before any key was
-	// read. Its list may be old.
-	Candidates func(ctx context.Context) ([]Neighbour, error)
-	Log        *zap.Logger
+	// Start, if set, returns how to begin before any key was read.
+	Start func(ctx context.Context) (Start, error)
+	Log   *zap.Logger
 
 	mu          sync.Mutex
 	cache       Cache
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -184,7 +184,7 @@
 			started := &watch.Watcher{
 				Feed: current, Sink: s, Interval: 50 * time.Millisecond, Instance: "n2", Peers: p,
 				Neighbours: func() []watch.Neighbour { return all[1:] },
-				Candidates: func(context.Context) ([]watch.Neighbour, error) { return all[:1], nil },
+				Start:      func(context.Context) (watch.Start, error) { return watch.Start{Candidates: all[:1]}, nil },
 			}
 			p.watchers["n2"] = started
 			reads := make(chan int, 1)
@@ -202,6 +202,42 @@
 	}
 }
 
+// TestPatientInstancesWaitForReader kills all instances of a region at once: those that
+// callers are not sent to wait for one that reads the store, instead of reading it all at
+// the same time.
+func TestPatientInstancesWaitForReader(t *testing.T) {
+	f := &feed{rangeTime: 300 * time.Millisecond}
+	f.write("a", false)
+	all := []watch.Neighbour{{Name: "n0", Capacity: 1}}
+	for n := 1; n < 8; n++ {
+		all = append(all, watch.Neighbour{Name: fmt.Sprint("n", n)})
+	}
+	p := &peers{watchers: map[string]*watch.Watcher{}, silent: map[string]bool{}}
+	sinks := make(map[string]*sink)
+	for i, n := range all {
+		sinks[n.Name] = newSink()
+		p.watchers[n.Name] = &watch.Watcher{
+			Feed: f, Sink: sinks[n.Name], Interval: 100 * time.Millisecond, Instance: n.Name, Peers: p,
+			Neighbours: func() []watch.Neighbour { return all },
+			Start: func(context.Context) (watch.Start, error) {
+				return watch.Start{Candidates: all[:1], Patient: i > 0}, nil
+			},
+		}
+	}
+	for _, n := range all {
+		run(t, p.watchers[n.Name])
+	}
+	require.Eventually(t, func() bool {
+		for _, s := range sinks {
+			if !s.has("a") {
+				return false
+			}
+		}
+		return true
+	}, _waitTimeout, _pollInterval)
+	f.set(func() { assert.Less(t, f.ranges, 3, "whole reads of the store") })
+}
+
 // TestPanicLeavesOutOneKey has a value make the sink panic: the other keys are delivered
 // and the watcher goes on.
 func TestPanicLeavesOutOneKey(t *testing.T) {
@@ -236,6 +272,8 @@
 	unavailable bool
 	compacted   bool
 	calls       int
+	// ranges counts the calls of Range.
+	ranges int
 	// alwaysCompacted makes each call fail with ErrCompacted.
 	alwaysCompacted bool
 	// rangeTime is how long Range takes.
@@ -265,6 +303,7 @@
 }
 
 func (f *feed) Range(ctx context.Context, _ string) ([]store.Item, store.Revision, error) {
+	f.set(func() { f.ranges++ })
 	select {
 	case <-time.After(f.rangeTime):
 	case <-ctx.Done():
