--- a/watch/start.go
+++ b/watch/start.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// _listTimeout is how long an instance that starts waits for the list of neighbours,
+	// twice a round trip between regions: while the store is slow, reading its keys must
+	// not wait for another call.
+	_listTimeout = 150 * time.Millisecond
 	// _startTimeout is how long an instance that starts waits for the snapshot of one
 	// neighbour before it turns to the next, and then to the store.
 	_startTimeout = 300 * time.Millisecond
@@ -25,13 +29,13 @@
 	// Candidates are neighbours that may hold a snapshot, the likeliest first.
 	Candidates []Neighbour
 	// Patient is set if the instance can wait for a neighbour to read the store first, as
-	// callers are sent to others.
+	// callers are sent to others. Any other reads the store at once.
 	Patient bool
 }
 
 var _neighbourSnapshots = metrics.NewCounter("wigeonlock_follow_neighbour_snapshots_total")
 
-// startFromNeighbour gets the first snapshot from a neighbour, as reading all keys of
+// startFromNeighbour gets the first snapshot of a patient instance from a neighbour, as reading all keys of
 // a large deployment takes a call for each page, and hundreds of instances that were
 // killed together would delay each other at the store. A snapshot is taken only if it was
 // read from the store within _maxReadAge: an older one may lack that a worker left. If
@@ -40,18 +44,17 @@
 	if w.Start == nil || w.Peers == nil {
 		return
 	}
-	listCtx, cancel := context.WithTimeout(ctx, _callTimeout)
+	listCtx, cancel := context.WithTimeout(ctx, _listTimeout)
 	start, err := w.Start(listCtx)
 	cancel()
 	if err != nil {
 		w.Log.Info("neighbours are not known, reading the store", zap.String("error", err.Error()))
 		return
 	}
-	rounds := 1
-	if start.Patient {
-		rounds = _patientRounds
+	if !start.Patient {
+		return
 	}
-	for round := range rounds {
+	for round := range _patientRounds {
 		began := time.Now()
 		for i := range min(len(start.Candidates), _maxCandidates) {
 			n := start.Candidates[(round+i)%len(start.Candidates)]
@@ -61,9 +64,6 @@
 				return
 			}
 		}
-		if round == rounds-1 {
-			return
-		}
 		select {
 		case <-ctx.Done():
 			return
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -174,7 +174,10 @@
 // update applies an entry of the known incarnation of a worker.
 func (r *Registry) update(now time.Time, w *Worker, e Entry, revision store.Revision) bool {
 	wasLeaving, coldUntil := w.Leaving, w.ColdUntil
-	changed := e.Leaving != w.Leaving || e.Slots != w.Slots || e.Zone != w.Zone || !w.ExpiresAt.IsZero() ||
+	// An instance that starts from the snapshot of a neighbour would take a worker for cold
+	// whose cold time is over, if the neighbour were not told of the end.
+	warmedUp := e.ColdLeft == 0 && w.ColdLeft > 0
+	changed := e.Leaving != w.Leaving || e.Slots != w.Slots || e.Zone != w.Zone || !w.ExpiresAt.IsZero() || warmedUp ||
 		now.Add(e.ColdLeft).Sub(coldUntil) > _coldTolerance && e.ColdLeft > 0
 	w.Entry, w.Revision, w.LastUpdate, w.ExpiresAt = e, revision, now, time.Time{}
 	w.ColdUntil = now.Add(e.ColdLeft)
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -108,3 +108,18 @@
 	assert.Equal(t, "10.0.0.2:80", r.Get("i").Address)
 	assert.Len(t, r.ByService("s"), 1)
 }
+
+// TestEndOfColdTimeIsChange has a worker warm up: an instance that later starts from the
+// snapshot of a neighbour must not take it for cold.
+func TestEndOfColdTimeIsChange(t *testing.T) {
+	r := worker.NewRegistry()
+	e := worker.Entry{ID: "i", Service: "s", Zone: "a", Slots: 1, Born: 1, Heartbeat: 1, ColdLeft: 3 * time.Second}
+	now := time.Unix(1000, 0)
+	assert.True(t, r.Put(now, e, 1))
+	e.Heartbeat, e.ColdLeft = 2, 1500*time.Millisecond
+	assert.False(t, r.Put(now.Add(1500*time.Millisecond), e, 2), "it gets warm as known")
+	e.Heartbeat, e.ColdLeft = 3, 0
+	assert.True(t, r.Put(now.Add(3*time.Second), e, 3))
+	e.Heartbeat = 4
+	assert.False(t, r.Put(now.Add(4500*time.Millisecond), e, 4))
+}
