--- a/exchange/body.go
+++ b/exchange/body.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -35,7 +37,7 @@
 		}
 		n, err := io.CopyN(buf, resp.Body, _bodyStep)
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			if resp.ContentLength > 0 && int64(buf.Len()) < resp.ContentLength && resp.Request.Method != http.MethodHead {
 				return nil, io.ErrUnexpectedEOF
 			}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -214,7 +214,10 @@
 		}
 		c.limit.left = _unlimited
 		body, err := p.readBody(resp)
-		// Close would read the rest of a body that was given up.
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		// A body that was given up is not closed, as that would read the rest of it.
 		if err != nil {
 			return nil, err
 		}
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -303,7 +303,7 @@
 		callers = append(callers, caller{reusedReader, 1}, caller{pipedReader, 3}, caller{uploadsReader, 1})
 		for range 30 {
 			c, r := dial(t, address)
-			_, err := io.WriteString(c, get("/n"))
+			_, err = io.WriteString(c, get("/n"))
 			require.NoError(t, err)
 			callers = append(callers, caller{r, 1})
 		}
--- a/movefeed/movefeed.go
+++ b/movefeed/movefeed.go
@@ -46,8 +46,8 @@
 
 // Moves holds the moves that an instance knows.
 type Moves interface {
-	// Moves returns the known moves, at most max.
-	Moves(max int) []placement.Move
+	// Moves returns the known moves, at most limit.
+	Moves(limit int) []placement.Move
 	// AdoptMoves applies moves of a neighbour.
 	AdoptMoves(moves []placement.Move)
 }
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -69,7 +69,7 @@
 	total := 0.0
 	random := uint64(11)
 	next := func() uint64 {
-		random = random + 0x9e3779b97f4a7c15
+		random += 0x9e3779b97f4a7c15
 		return mix(random)
 	}
 	const step = time.Millisecond
--- a/placement/places.go
+++ b/placement/places.go
@@ -74,12 +74,12 @@
 	p.warm.record(now, m.Object, m.Worker)
 }
 
-// Moves returns the moves of objects that are still at their new place, at most max.
-func (p *Placer) Moves(now time.Time, max int) []Move {
+// Moves returns the moves of objects that are still at their new place, at most limit.
+func (p *Placer) Moves(now time.Time, limit int) []Move {
 	var moves []Move
 	for service, places := range p.places {
 		for object, last := range places.last {
-			if len(moves) >= max {
+			if len(moves) >= limit {
 				return moves
 			}
 			if last.moves > 0 && now.Sub(last.at) < _placeTime {
