--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -115,8 +115,8 @@
 		{
 			"truncated answers count as complete", check.OwnAnswer,
 			[]Edit{
-				{_exchange, "case err != nil:\n\t\treturn nil, err\n\tcase n > _maxBody", "case n > _maxBody && err == nil"},
-				{_exchange, "return nil, io.ErrUnexpectedEOF", "return buf.Bytes(), nil"},
+				{"exchange/body.go", "case err != nil:\n\t\t\treturn nil, err", "case err != nil:\n\t\t\treturn buf.Bytes(), nil"},
+				{"exchange/body.go", "return nil, io.ErrUnexpectedEOF", "return buf.Bytes(), nil"},
 			},
 			workerFaults("truncate", 0.3),
 		},
@@ -157,14 +157,14 @@
 		},
 		{
 			"cold workers are not limited", check.Cold,
-			[]Edit{{_placement, "|| !p.mayBeCold(now, c.Worker) ||", "|| true ||"}},
+			[]Edit{{_placement, "if !p.mayBeCold(now, c.Worker) ||", "if true ||"}},
 			[]fault.Event{at(1, fault.Crash, 0), at(1, fault.Crash, 2), at(1, fault.Crash, 4), at(1, fault.Crash, 6)},
 		},
 		{
 			"a stop aborts requests", check.Answered,
 			[]Edit{
 				{_gateway, "wait(ctx, started.Add(seconds(total*_drainShare)))", ""},
-				{"frontend/frontend.go", "for c := range s.conns {\n\t\tc.stopReading()", "for c := range s.conns {\n\t\t_ = c.Close()"},
+				{"frontend/frontend.go", "for c := range s.conns {\n\t\tc.finish(s.lastRead)", "for c := range s.conns {\n\t\t_ = c.Close()"},
 			},
 			[]fault.Event{at(1, fault.Terminate, 0), at(2, fault.Terminate, 2), at(3, fault.Terminate, 1)},
 		},
