Moves to another region are limited over all its instances, also of warm objects

Workers that tell no load, as those of some services, passed for idle ones, to which moves are free, so that nothing limited the moves there.

TestRegionChangesAreLimited and TestMovesWithoutLoadReportsAreLimited. TestPeakOfOneRegionUsesOthers now tells moves, as the instances do.

--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // load is a load pattern that is replayed on simulated workers of three regions, each
@@ -188,7 +190,7 @@
 // rate while the others are quiet, with room in the other regions.
 func TestPeakOfOneRegionUsesOthers(t *testing.T) {
 	l := load{
-		workers: map[string]int{"a": 4, "b": 5, "c": 5}, objects: 48, lasts: 36 * time.Second,
+		workers: map[string]int{"a": 4, "b": 5, "c": 5}, objects: 48, lasts: 36 * time.Second, told: true,
 		rate: func(region string, at time.Duration) float64 {
 			switch {
 			case at < 8*time.Second:
@@ -215,15 +217,28 @@
 	assert.Less(t, got.refused, 0.1, "%+v", got)
 }
 
-// TestToldMovesKeepObjectsTogether has full workers lose objects: if each instance of a
-// region moves an object by itself, it runs cold on as many workers, and the others wait.
-func TestToldMovesKeepObjectsTogether(t *testing.T) {
-	l := load{workers: map[string]int{"a": 4, "b": 5, "c": 5}, objects: 48, lasts: 36 * time.Second, rate: waves(66)}
-	alone := l.replay(8 * time.Second)
-	l.told = true
-	got := l.replay(8 * time.Second)
-	assert.Greater(t, got.inTime, alone.inTime, "%+v, not told %+v", got, alone)
-	assert.Less(t, got.refused, 0.7*alone.refused, "%+v, not told %+v", got, alone)
+// TestToldMovesAreFollowed has an instance move an object from a full worker: told of it,
+// the other instances of the region send it there too, warm and without a move of their
+// own, instead of running it cold on a worker each.
+func TestToldMovesAreFollowed(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 12}, 3)
+	placers := []*Placer{newPlacer(), newPlacer(), newPlacer()}
+	tell(placers)
+	r := requestFor("x")
+	full := placers[0].Choose(_start, r, workers).Worker
+	for range 7 {
+		placers[0].Begin(_start, requestFor("y"), full)
+	}
+	placers[0].localShareFor(shareKey{service: "s"}).run = 200 * time.Millisecond
+	moved := placers[0].Choose(_start, r, workers)
+	require.True(t, moved.Moves)
+	assert.NotEqual(t, full, moved.Worker)
+	for _, p := range placers[1:] {
+		c := p.Choose(_start, r, workers)
+		assert.Equal(t, moved.Worker, c.Worker)
+		assert.True(t, c.Warm)
+		assert.False(t, c.Moves)
+	}
 }
 
 // TestInstancesAgreeOnMoves has two instances move an object at the same time and learn
@@ -257,7 +272,7 @@
 	p := newPlacer()
 	p.localShareFor(shareKey{service: "s"}).run = run
 	free := workers[3]
-	p.state(free.ID).meanLoad = _idleLoad
+	p.state(free.ID).meanLoad, p.state(free.ID).reportedAt = _idleLoad, _start
 	for _, w := range workers {
 		for range 7 {
 			if w != free {
@@ -279,3 +294,51 @@
 	allowed := _maxMoveTime * 8 * 3 / (_coldRun * run.Seconds()) / instances * seconds
 	assert.InDelta(t, allowed, moved, allowed/4)
 }
+
+// TestMovesWithoutLoadReportsAreLimited has workers tell no load, as those of some
+// services: they must not pass for idle ones, to which moves are free.
+func TestMovesWithoutLoadReportsAreLimited(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 8}, 3)
+	p := newPlacer()
+	p.localShareFor(shareKey{service: "s"}).run = 200 * time.Millisecond
+	for _, w := range workers[1:] {
+		for range 7 {
+			p.Begin(_start, requestFor("y"), w)
+		}
+	}
+	moved := 0
+	for n := range 1000 {
+		if p.Choose(_start, requestFor(fmt.Sprint(n)), workers).Moves {
+			moved++
+		}
+	}
+	assert.LessOrEqual(t, moved, 5)
+}
+
+// TestRegionChangesAreLimited has all workers of a region full while the objects are warm
+// in another one: they must not all change the region at once.
+func TestRegionChangesAreLimited(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 4, "b": 4}, 3)
+	p := newPlacer()
+	const objects = 200
+	for n := range objects {
+		for _, w := range workers {
+			r := requestFor(fmt.Sprint(n))
+			p.warm.record(_start, xxhash.Sum64String(r.Object), w.ID)
+			p.placesOf("s").record(_start, xxhash.Sum64String(r.Object), Choice{Worker: workers[n%4]})
+		}
+	}
+	for _, w := range workers[:4] {
+		for range 7 {
+			p.Begin(_start, requestFor("y"), w)
+		}
+	}
+	moved := 0
+	for n := range objects {
+		if p.Choose(_start, requestFor(fmt.Sprint(n)), workers).Moves {
+			moved++
+		}
+	}
+	assert.Positive(t, moved)
+	assert.LessOrEqual(t, float64(moved), _maxShareChange*objects+1)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -49,8 +49,10 @@
 	// _moveLoad is the load below which a worker takes over objects of others: a slot
 	// is free, so that the first run there, which is cold, does not wait.
 	_moveLoad = 1.0
-	// _idleLoad is the mean load below which the cold runs of a worker delay no others.
-	_idleLoad = 0.4
+	// _idleLoad is the mean load below which the cold runs of a worker delay no others,
+	// and _idleMaxAge the age from which load reports no longer tell that.
+	_idleLoad   = 0.4
+	_idleMaxAge = 5 * time.Second
 	// _coldRun is the time of a run on a worker where the object is cold, as a
 	// multiple of the time of a warm run.
 	_coldRun = 2.5
@@ -109,8 +111,8 @@
 	// Moves is set if Worker becomes the place of the object.
 	Moves bool
 
-	// charged is the limit that the move is charged to, or nil.
-	charged *moveLimit
+	// charged are the limits that the move is charged to.
+	charged []*moveLimit
 }
 
 // Outcome is the result of an exchange with a worker.
@@ -292,22 +294,26 @@
 	return best
 }
 
-// mayMove reports whether an object may move to a chosen worker, and sets the limit
-// that the move is charged to. Cold runs on an idle worker delay no others; there, only
-// the change of the region is limited.
+// mayMove reports whether an object may move to a chosen worker, and sets the limits that
+// the move is charged to. Cold runs on a busy worker are limited, as they delay others, and
+// so is any change of the region.
 func (p *Placer) mayMove(now time.Time, r Request, c *Choice, sameRegion bool) bool {
+	if !r.Sticky {
+		return true
+	}
 	places := p.placesOf(r.Service)
-	idle := p.state(c.Worker.ID).meanLoad < _idleLoad
-	perSecond := 0.0
-	switch {
-	case c.Warm || !r.Sticky || idle && sameRegion:
+	if !sameRegion {
+		c.charged = append(c.charged, &places.away)
+		// The other instances of the region follow each move.
+		if !places.away.allows(now, _maxShareChange*float64(len(places.last))/float64(max(r.RegionInstances, 1))) {
+			return false
+		}
+	}
+	if c.Warm || p.state(c.Worker.ID).idle(now) {
 		return true
-	case idle:
-		c.charged, perSecond = &places.idle, _maxShareChange*float64(len(places.last))
-	default:
-		c.charged, perSecond = &places.busy, p.moveRate(r)
 	}
-	return c.charged.allows(now, perSecond)
+	c.charged = append(c.charged, &places.busy)
+	return places.busy.allows(now, p.moveRate(r))
 }
 
 // moveRate returns the number of objects of a service that may move to busy workers
--- a/placement/places.go
+++ b/placement/places.go
@@ -21,9 +21,9 @@
 type places struct {
 	last map[uint64]placed
 
-	// busy limits moves to busy workers, idle those to idle workers of other regions.
+	// busy limits moves to busy workers, away those to other regions.
 	busy moveLimit
-	idle moveLimit
+	away moveLimit
 }
 
 // moveLimit limits the number of objects that move per second. Up to a second's worth,
@@ -115,8 +115,8 @@
 	if c.Moves {
 		last.moves++
 	}
-	if c.charged != nil {
-		c.charged.left--
+	for _, limit := range c.charged {
+		limit.left--
 	}
 	last.at = now
 	p.last[object] = last
--- a/placement/state.go
+++ b/placement/state.go
@@ -90,6 +90,12 @@
 	return load >= limit || now.Before(s.shedUntil)
 }
 
+// idle reports whether the worker has told that it has slots to spare. One that tells no
+// load may be busy.
+func (s *state) idle(now time.Time) bool {
+	return s.meanLoad < _idleLoad && now.Sub(s.reportedAt) < _idleMaxAge
+}
+
 func (p *Placer) state(id string) *state {
 	s := p.known[id]
 	if s == nil {
