--- /dev/null
+++ b/forward/refusal.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonlock/wigeonlock/exchange"
+	"github.com/wigeonlock/wigeonlock/frontend"
+	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
+)
+
+const (
+	// _retryAfterShare is the fraction of the remaining time that a refused caller
+	// is told to wait in Retry-After, at most _maxRetryAfter.
+	_retryAfterShare = 0.25
+	_maxRetryAfter   = 500 * time.Millisecond
+)
+
+// giveUp ends a request that no worker answered. denied is why it is not retried.
+func (s *Service) giveUp(rs *requestState, reason relay.Reason, denied noRetryReason) *relay.Answer {
+	if len(rs.tried) > 0 {
+		rs.noRetry = denied
+		countNoRetry(denied)
+	}
+	if rs.failure != nil {
+		return rs.failure
+	}
+	if !rs.unknown {
+		return s.refuse(rs.request, reason, rs.deadline)
+	}
+	countRefusal(rs.last.Answer.Reason)
+	status := http.StatusBadGateway
+	if rs.last.Fault == exchange.TimedOut || reason == relay.DeadlinePassed {
+		status = http.StatusGatewayTimeout
+	}
+	a := frontend.Refusal(status, rs.last.Answer.Reason, "the request may have run")
+	a.Outcome = retry.Unknown
+	return a
+}
+
+// refuse returns a refusal for a request that did not run, with a Retry-After
+// that is jittered so that refused callers do not return all at once.
+func (s *Service) refuse(r *relay.Request, reason relay.Reason, deadline time.Time) *relay.Answer {
+	countRefusal(reason)
+	a := frontend.Refusal(http.StatusServiceUnavailable, reason, "the request did not run")
+	left := r.TimeLeft
+	if !deadline.IsZero() {
+		left = time.Until(deadline)
+	}
+	pause := min(time.Duration(float64(left)*_retryAfterShare), _maxRetryAfter)
+	pause = time.Duration(float64(pause) * (0.5 + rand.Float64()/2))
+	a.Header = append(a.Header, relay.Header{
+		Name: relay.HeaderRetryAfter, Value: strconv.FormatFloat(max(pause, 0).Seconds(), 'f', 3, 64),
+	})
+	return a
+}
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -100,7 +100,7 @@
 		},
 		{
 			"requests that may have run are refused", check.NotRun,
-			[]Edit{{_forward, "if !rs.unknown {\n\t\treturn s.refuse", "if true {\n\t\treturn s.refuse"}},
+			[]Edit{{"forward/refusal.go", "if !rs.unknown {\n\t\treturn s.refuse", "if true {\n\t\treturn s.refuse"}},
 			workerFaults("loseAnswer", 0.3),
 		},
 		{
