--- a/placement/placement.go
+++ b/placement/placement.go
@@ -294,7 +294,7 @@
 	return best
 }
 
-// mayMove reports whether an object may move to a chosen worker, and sets the limits that
+// mayMove reports whether an object may move to the worker of c, and sets the limits that
 // the move is charged to. Cold runs on a busy worker are limited, as they delay others, and
 // so is any change of the region.
 func (p *Placer) mayMove(now time.Time, r Request, c *Choice, sameRegion bool) bool {
--- a/placement/places.go
+++ b/placement/places.go
@@ -102,7 +102,7 @@
 	return known
 }
 
-// record records that a request for an object is sent as chosen. It returns the number
+// record records that a request for an object is sent to the worker of c. It returns the number
 // of moves of the object.
 func (p *places) record(now time.Time, object uint64, c Choice) uint32 {
 	last, ok := p.last[object]
