Limits that workers name are read and logged

What callers saw: nothing; a worker that had named a limit got far more requests than that. Neither our logs nor our metrics could tell who had been told of the limit, when, and what was sent afterwards.

No decision changes.

The stand-in of a worker can name a limit.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -70,6 +71,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	sent := time.Now()
+	result.SentAt = sent
 	written, err := p.send(ctx, c, t, r)
 	if err == nil {
 		err = p.awaitAnswer(c, r, sent, &result)
@@ -246,10 +248,13 @@
 // accept turns a complete answer into a result.
 func (p *Pool) accept(c *conn, a *reply, r *relay.Request, result *Result) error {
 	result.Load = parseLoad(a.header.Get(p.HeaderNames.Load))
+	result.Limit = parseLimit(a.header.Get(p.HeaderNames.Limit))
 	result.closing = a.closing
 	c.readKeepAlive(a.header)
 	switch {
 	case a.status == http.StatusMisdirectedRequest:
+		// Another worker answered, whose load and limit are its own.
+		result.Load, result.Limit = nil, nil
 		result.Fault = Misdirected
 		result.Answer = relay.NotRun(relay.WorkerRefused)
 	case p.notRun(a):
@@ -295,6 +300,20 @@
 	return &Load{Running: values[0], Waiting: values[1], Slots: values[2]}
 }
 
+// parseLimit returns the limit that an answer names, or nil. A value that is not a
+// number of requests per second is counted and ignored.
+func parseLimit(text string) *float64 {
+	if text == "" {
+		return nil
+	}
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || limit < 0 || math.IsInf(limit, 0) || math.IsNaN(limit) {
+		_badLimits.Inc()
+		return nil
+	}
+	return &limit
+}
+
 // classifyFailure classifies an exchange that failed after the request was sent, so
 // that it may have run.
 func (p *Pool) classifyFailure(ctx context.Context, result Result, err error) Result {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -75,6 +75,9 @@
 	// Load is the load report of a worker: running, waiting and slots, separated
 	// by commas.
 	Load string
+	// Limit is the number of requests per second that a worker takes from all
+	// instances together.
+	Limit string
 }
 
 // Target is the ID and the host:port address of a worker.
@@ -128,6 +131,11 @@
 	Reused bool
 	// Load is nil unless the worker reported it.
 	Load *Load
+	// Limit is the number of requests per second that the worker takes from all
+	// instances together, or nil if its answer names none.
+	Limit *float64
+	// SentAt is when the request was written.
+	SentAt time.Time
 	// Took is the duration of the exchange, including the dial.
 	Took time.Duration
 	// Opened is when the connection was established, zero if none was.
@@ -172,6 +180,7 @@
 	_strays     = metrics.NewCounter("wigeonlock_stray_answers_total")
 	// _unnamedRefusals counts refusals that may be copies of earlier ones.
 	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
+	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
 	_surpluses       = metrics.NewCounter("wigeonlock_surplus_bytes_total")
 )
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -21,7 +21,7 @@
 )
 
 var _names = exchange.HeaderNames{
-	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load",
+	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load", Limit: "Limit",
 }
 
 // worker answers each request with the bytes that a script returns; a nil answer
@@ -391,3 +391,29 @@
 	pool.Sweep(now.Add(time.Second))
 	assert.Equal(t, []string{first}, reported, "a close by all workers at once is not reported")
 }
+
+// TestLimitOfAnotherWorkerIsIgnored has a worker that took over an address answer 421 and
+// name a limit: it is not the limit of the worker that was asked.
+func TestLimitOfAnotherWorkerIsIgnored(t *testing.T) {
+	for name, tt := range map[string]struct {
+		status string
+		limit  string
+		want   *float64
+	}{
+		"answer":    {"200 OK", "0.4", new(0.4)},
+		"error":     {"500 Error", "12", new(12.0)},
+		"421":       {"421 Misdirected", "0.4", nil},
+		"none":      {"200 OK", "", nil},
+		"negative":  {"200 OK", "-1", nil},
+		"no number": {"200 OK", "NaN", nil},
+		"text":      {"200 OK", "5 a second", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+				return fmt.Appendf(nil, "HTTP/1.1 %s\r\nId: %s\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n", tt.status, r.Header.Get("Id"), tt.limit)
+			})
+			pool := &exchange.Pool{HeaderNames: _names}
+			assert.Equal(t, tt.want, pool.Do(t.Context(), w.target(), request("q"), true).Limit)
+		})
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -104,6 +104,7 @@
 	placer  placement.Placer
 	pacer   placement.Pacer
 	returns returns
+	limits  namedLimits
 	budgets map[string]*retry.SharedBudget
 }
 
@@ -167,6 +168,7 @@
 	s.state.Workers.Sweep(now)
 	s.placer.Forget(func(id string) bool { return s.state.Workers.Get(id) == nil })
 	s.pacer.Forget(now)
+	s.limits.forget(func(id string) bool { return s.state.Workers.Get(id) == nil })
 }
 
 func (s *Service) route(r *relay.Request) (route *catalog.Route, known bool) {
@@ -426,6 +428,7 @@
 	}
 	s.mu.Lock()
 	s.placer.End(time.Now(), rs.choice.Worker, report)
+	s.recordLimit(rs, result)
 	s.mu.Unlock()
 	s.logAttempt(rs, target, result)
 }
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -165,13 +165,15 @@
 	Leaving int
 	// OldestUpdate is the largest age of the last update of a usable worker.
 	OldestUpdate time.Duration
+	// Limited counts the workers that name a limit to this instance.
+	Limited int
 }
 
 // Status returns a summary of the known state at a time.
 func (s *Service) Status(now time.Time) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	status := Status{}
+	status := Status{Limited: len(s.limits)}
 	if s.state.Catalog != nil {
 		status.Version = s.state.Catalog.Version
 	}
--- a/gateway/http.go
+++ b/gateway/http.go
@@ -82,6 +82,7 @@
 		{`wigeonlock_workers_known{state="usable"}`, float64(status.Usable)},
 		{`wigeonlock_workers_known{state="cold"}`, float64(status.Cold)},
 		{`wigeonlock_workers_known{state="leaving"}`, float64(status.Leaving)},
+		{`wigeonlock_workers_known{state="limited"}`, float64(status.Limited)},
 	}
 	for _, gauge := range gauges {
 		metrics.WriteGaugeFloat64(w, gauge.name, gauge.value)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -97,6 +97,8 @@
 	sequence   int
 	fault      string
 	faultShare float64
+	// limit is the number of requests per second that the answers name, nil for none.
+	limit *float64
 }
 
 // Listen starts serving on a free loopback address.
@@ -126,6 +128,14 @@
 	b.fault, b.faultShare = kind, share
 }
 
+// NameLimit makes the answers name a limit, in requests per second, that all instances
+// together have to keep, or none if it is nil. The worker itself refuses nothing.
+func (b *Backend) NameLimit(perSecond *float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = perSecond
+}
+
 // MarkCold makes the worker cold for a duration that begins after a delay. The
 // worker's entry announces it from the next Register on.
 func (b *Backend) MarkCold(delay, duration time.Duration) {
@@ -201,7 +211,7 @@
 		return
 	}
 	if v.Fault == FaultShed || !b.acquireSlot(r) {
-		b.setLoadHeader(w)
+		b.setLoadHeaders(w)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -284,12 +294,16 @@
 	b.mu.Unlock()
 }
 
-// setLoadHeader adds the load report: busy slots, waiting requests and all slots.
-func (b *Backend) setLoadHeader(w http.ResponseWriter) {
+// setLoadHeaders adds the load report, which is busy slots, waiting requests and all
+// slots, and the limit.
+func (b *Backend) setLoadHeaders(w http.ResponseWriter) {
 	b.mu.Lock()
-	waiting := b.waiting
+	waiting, limit := b.waiting, b.limit
 	b.mu.Unlock()
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", len(b.slots), waiting, b.Slots))
+	if limit != nil {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(*limit, 'f', -1, 64))
+	}
 }
 
 // answer sends the answer, with the visit's fault. The last segment of the path is
@@ -300,7 +314,7 @@
 		n = _bodyUnitBytes
 	}
 	body := Body(v.RequestID, n)
-	b.setLoadHeader(w)
+	b.setLoadHeaders(w)
 	w.Header().Set("X-Server-Stamp", b.ID+"."+v.RequestID)
 	w.Header().Set("Content-Length", strconv.Itoa(n))
 	switch v.Fault {
