--- a/movefeed/movefeed.go
+++ b/movefeed/movefeed.go
@@ -21,9 +21,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/datagram"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/placement"
 )
@@ -32,8 +32,6 @@
 	// _maxMoves is the number of moves in one datagram: about 1200 bytes, so that it
 	// needs no fragments.
 	_maxMoves = 12
-	// _maxDatagram is the largest datagram that is read, in bytes.
-	_maxDatagram = 4 << 10
 	// _maxAnswers is the largest number of datagrams that answer a question.
 	_maxAnswers = 64
 	// _queue is the number of moves that wait to be sent. Further ones are dropped.
@@ -95,48 +93,15 @@
 // Run sends and receives datagrams until ctx ends and returns nil. Without a socket it
 // only logs: an instance that does not hear of moves still serves.
 func (f *Feed) Run(ctx context.Context) error {
-	conn, err := f.listen()
+	conn, err := datagram.Listen(f.Listen)
 	if err != nil {
 		f.Log.Warn("moves of objects are not shared", zap.Error(err))
 		return nil
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	answered := make(chan struct{}, 1)
 	go f.send(ctx, conn, answered)
-	buffer := make([]byte, _maxDatagram)
-	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer)
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case err != nil:
-			// An earlier datagram may have reached a machine without a listener.
-			f.Log.Debug("datagram was not read", zap.String("error", err.Error()))
-			pause(ctx, _askInterval)
-			continue
-		}
-		f.receive(conn, from, buffer[:n], answered)
-	}
-}
-
-func (f *Feed) listen() (*net.UDPConn, error) {
-	address, err := net.ResolveUDPAddr("udp4", f.Listen)
-	if err != nil {
-		return nil, errors.Wrap(err, "address for moves")
-	}
-	conn, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for moves")
-	}
-	return conn, nil
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	datagram.Serve(ctx, conn, f.Log, func(from netip.AddrPort, data []byte) { f.receive(conn, from, data, answered) })
+	return nil
 }
 
 // receive handles a datagram. One that cannot be decoded is counted and dropped.
--- a/movefeed/movefeed_test.go
+++ b/movefeed/movefeed_test.go
@@ -104,7 +104,7 @@
 	defer func() { _ = conn.Close() }()
 	assert.Eventually(t, func() bool {
 		for _, text := range []string{
-			"", "{", "[]", "null", `{"moves":7}`, `{"moves":[{"object":-1}]}`, strings.Repeat("x", 2*_maxDatagram),
+			"", "{", "[]", "null", `{"moves":7}`, `{"moves":[{"object":-1}]}`, strings.Repeat("x", 8<<10),
 			`{"moves":[` + strings.Repeat(`{"count":1},`, _maxMoves) + `{"count":1}]}`,
 			`{"moves":[{"service":"s","object":"3","worker":"i","count":1}]}`,
 		} {
