All instances together keep the limits that workers name

What callers and workers saw: a worker that had named a limit got as many requests as before, two to three times what it takes; callers noticed nothing.

Cause: no instance read the limit. Reading it on each instance alone would not do, since it binds all of them together and instances do not know what the others send.

Why this works: every request to a limited worker, first or second try, moved or not, uses a permit, and one instance, found by hash in the worker's own zone, issues them at the limit's rate. Permits are asked for when a request needs one, so that a limit below one request a second is used by whichever instance has the demand. Whoever hears of a limit tells the issuer, which tells all; an instance that starts asks its neighbours. A limit ends with an answer without one to a request that was sent after the last naming, or with the worker's incarnation. An issuer that does not answer is replaced at half the rate, so that two that cannot see each other stay within the one and a half times that workers take. What gets no permit goes to the object's next worker, or is refused at once as workerLimit.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,8 @@
 	Region  string `json:"region"`
 	// Peers is the address for connections of other instances.
 	Peers string `json:"peers"`
+	// Permits is the address for datagrams about permits.
+	Permits string `json:"permits"`
 	// Started is the time of its start in Unix milliseconds.
 	Started int64 `json:"started"`
 	// Capacity ranks the instances of a zone: those with more are selected first.
@@ -124,6 +126,20 @@
 	return list
 }
 
+// Members returns the registered instances, this one included only if it is registered.
+func (d *Directory) Members() []Member {
+	list := make([]Member, 0, len(d.members)+1)
+	for name, e := range d.members {
+		if name != d.Self.Name {
+			list = append(list, e.Member)
+		}
+	}
+	if d.Registered() {
+		list = append(list, d.Self)
+	}
+	return list
+}
+
 // Registered reports whether the store has the key of this incarnation of the
 // instance.
 func (d *Directory) Registered() bool {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,6 +27,7 @@
 	"github.com/wigeonlock/wigeonlock/catalog"
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/frontend"
+	"github.com/wigeonlock/wigeonlock/permit"
 	"github.com/wigeonlock/wigeonlock/placement"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
@@ -96,6 +97,10 @@
 	// block.
 	Moved func(m placement.Move)
 
+	// Permits keeps the limits that workers name. If it is nil, Prepare sets one of an
+	// instance that is alone.
+	Permits *permit.Book
+
 	// regions is the number of regions.
 	regions int
 
@@ -104,7 +109,6 @@
 	placer  placement.Placer
 	pacer   placement.Pacer
 	returns returns
-	limits  namedLimits
 	budgets map[string]*retry.SharedBudget
 }
 
@@ -121,6 +125,13 @@
 	}
 	s.regions = len(regions)
 	s.pacer = placement.Pacer{Self: s.Instance}
+	if s.Permits == nil {
+		s.Permits = &permit.Book{
+			Self: s.Instance, RegionOf: func(zone string) string { return s.Zones[zone] },
+			Members: func() []permit.Instance { return nil }, Send: func(string, permit.Message) {},
+		}
+	}
+	s.Permits.Changed, s.Permits.Silent = s.limitChanged, s.instanceSilent
 	s.budgets = make(map[string]*retry.SharedBudget)
 }
 
@@ -168,7 +179,7 @@
 	s.state.Workers.Sweep(now)
 	s.placer.Forget(func(id string) bool { return s.state.Workers.Get(id) == nil })
 	s.pacer.Forget(now)
-	s.limits.forget(func(id string) bool { return s.state.Workers.Get(id) == nil })
+	s.Permits.Sweep(now, s.hasEnded)
 }
 
 func (s *Service) route(r *relay.Request) (route *catalog.Route, known bool) {
@@ -213,6 +224,8 @@
 	// last update.
 	choice    placement.Choice
 	updateAge time.Duration
+	// returning is set if the caller was refused before and returns.
+	returning bool
 	// queued is the time from the receipt of the complete request to the first
 	// attempt.
 	queued time.Duration
@@ -224,7 +237,11 @@
 	failedDials int
 	// unknown is set when a worker may have run the request.
 	unknown bool
-	last    exchange.Result
+	// permitWaits counts the answers of issuers that were waited for, and heldBack holds
+	// the workers that had no permit for the request.
+	permitWaits int
+	heldBack    []string
+	last        exchange.Result
 	// failure is the server error of an earlier worker. It is returned if no other
 	// worker gives an answer.
 	failure *relay.Answer
@@ -249,6 +266,7 @@
 		timeout = min(timeout, r.TimeLeft)
 	}
 	rs := &requestState{request: r, route: route, service: route.Pick(rand.Float64()), deadline: r.Received.Add(timeout)}
+	rs.returning = s.isReturn(rs)
 	ctx, cancel := s.withDeadline(ctx, rs)
 	defer cancel()
 	answer := s.forward(ctx, rs)
@@ -270,7 +288,7 @@
 // request must not be retried.
 func (s *Service) forward(ctx context.Context, rs *requestState) *relay.Answer {
 	for {
-		target, reason := s.chooseWorker(rs)
+		target, reason := s.chooseWorker(ctx, rs)
 		if reason != "" {
 			return s.giveUp(rs, reason, _noWorker)
 		}
@@ -340,37 +358,59 @@
 	return b
 }
 
-// chooseWorker chooses a worker and counts the request as in flight to it. If there
-// is no worker, chooseWorker returns the reason. The target is a copy: the worker's
-// entry changes under the lock while the request is running.
-func (s *Service) chooseWorker(rs *requestState) (exchange.Target, relay.Reason) {
+// chooseWorker chooses a worker and counts the request as in flight to it, after the permit
+// for the worker arrived, if it needs one. If there is no worker, chooseWorker returns the
+// reason.
+func (s *Service) chooseWorker(ctx context.Context, rs *requestState) (exchange.Target, relay.Reason) {
+	for again := false; ; again = true {
+		target, reason, permitted := s.tryWorkers(rs, again)
+		if permitted == nil {
+			return target, reason
+		}
+		awaitPermit(ctx, permitted)
+	}
+}
+
+// tryWorkers chooses a worker and counts the request as in flight to it. The target is a
+// copy: the worker's entry changes under the lock while the request is running. If a permit
+// is pending, tryWorkers returns the channel that is closed when it is not any more.
+func (s *Service) tryWorkers(rs *requestState, again bool) (exchange.Target, relay.Reason, <-chan struct{}) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var permitted <-chan struct{}
 	request := placement.Request{
 		Service:         rs.service,
 		Object:          rs.object(),
 		Sticky:          rs.sticky(),
-		Returning:       s.returns.recognize(rs.route.Name, rs.request.TimeLeft),
+		Again:           again,
+		Returning:       rs.returning,
 		Large:           rs.route.Kind.Large(),
 		MayServe:        rs.route.MayServe,
 		Closed:          func(zone string) bool { return s.state.Closed[zone] },
 		RegionInstances: max(s.state.Neighbours, 1),
 		Instances:       max(s.state.Neighbours, 1) * s.regions,
 		Tried:           rs.tried,
-		PermitCold:      func(w *worker.Worker) bool { return s.permitCold(now, w) },
+		Permit: func(w *worker.Worker, cold bool) (p placement.Permission) {
+			p, permitted = s.permit(now, rs, w, cold)
+			return p
+		},
+		ShareOf: shareOf(s.Permits.Shares(now)),
 	}
 	c := s.placer.Choose(now, request, s.state.Workers.ByService(rs.service))
+	if c.Reason == placement.AwaitsPermit {
+		return exchange.Target{}, "", permitted
+	}
 	rs.choice = c
 	if c.Worker == nil {
-		return exchange.Target{}, reasonOf(c.Reason)
+		return exchange.Target{}, reasonOf(c.Reason, rs.heldBack), nil
 	}
 	rs.updateAge = now.Sub(c.Worker.LastUpdate)
 	if len(rs.tried) == 0 {
 		s.budget(rs.service).RecordFirst(now)
 	}
 	s.placer.Begin(now, request, c.Worker)
-	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address}, ""
+	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address}, "", nil
 }
 
 // object identifies what the request concerns. Objects of different routes are
@@ -388,23 +428,18 @@
 	return rs.route.Sticky && rs.request.Object != ""
 }
 
-// reasonOf returns the reason that callers get when no worker was chosen.
-func reasonOf(r placement.Reason) relay.Reason {
-	if r == placement.NoWorkers {
+// reasonOf returns the reason that callers get when no worker was chosen. heldBack are the
+// workers that had no permit.
+func reasonOf(r placement.Reason, heldBack []string) relay.Reason {
+	switch {
+	case r == placement.NoWorkers:
 		return relay.NoWorkers
+	case len(heldBack) > 0:
+		return relay.WorkerLimit
 	}
 	return relay.NoCapacity
 }
 
-func (s *Service) permitCold(now time.Time, w *worker.Worker) bool {
-	if s.state.Catalog == nil {
-		return false
-	}
-	limits := s.state.SharedLimits
-	perSecond := s.state.Catalog.Service(w.Service).ColdRate*limits.ColdOverrun + limits.ColdSlack
-	return s.pacer.Allow(now, w.ID, perSecond, s.state.Instances)
-}
-
 // attempt sends a request to a worker and records the result.
 func (s *Service) attempt(ctx context.Context, rs *requestState, target exchange.Target) {
 	if len(rs.tried) == 0 {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -40,6 +40,7 @@
 	at, _ := ctx.Deadline()
 	e.left = append(e.left, time.Until(at))
 	result := e.results[n]
+	result.SentAt = time.Now()
 	e.mu.Unlock()
 	if e.wait != nil {
 		e.wait(ctx)
--- a/forward/returns.go
+++ b/forward/returns.go
@@ -14,6 +14,13 @@
 	_usualBelow = 0.9
 )
 
+// isReturn reports whether the caller of a request was refused before and returns.
+func (s *Service) isReturn(rs *requestState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returns.recognize(rs.route.Name, rs.request.TimeLeft)
+}
+
 // returns recognizes callers that were refused and return. It is not safe for
 // concurrent use.
 type returns struct {
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -103,7 +103,7 @@
 		zap.String("service", rs.service), zap.String("object", rs.request.Object),
 		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Strings("tried", rs.tried), zap.String("notAgain", string(rs.noRetry)), zap.Float64("load", rs.choice.Load),
-		zap.Int("rank", rs.choice.Rank), zap.String("full", rs.choice.FullWorker), zap.Duration("newsAgeMs", rs.updateAge),
+		zap.Int("rank", rs.choice.Rank), zap.String("full", rs.choice.FullWorker), zap.Strings("heldBack", rs.heldBack), zap.Duration("newsAgeMs", rs.updateAge),
 		zap.Duration("timeLeftMs", time.Until(rs.deadline)), zap.Bool("warm", rs.choice.Warm),
 		zap.Duration("firstByteMs", rs.last.FirstByte), zap.Duration("workerMs", rs.last.Took),
 		zap.Duration("tookMs", took), zap.Bool("late", late))
@@ -165,7 +165,7 @@
 	Leaving int
 	// OldestUpdate is the largest age of the last update of a usable worker.
 	OldestUpdate time.Duration
-	// Limited counts the workers that name a limit to this instance.
+	// Limited counts the workers that name a limit, as far as known.
 	Limited int
 }
 
@@ -173,7 +173,7 @@
 func (s *Service) Status(now time.Time) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	status := Status{Limited: len(s.limits)}
+	status := Status{Limited: len(s.Permits.Limits())}
 	if s.state.Catalog != nil {
 		status.Version = s.state.Catalog.Version
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 	"github.com/wigeonlock/wigeonlock/frontend"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/movefeed"
+	"github.com/wigeonlock/wigeonlock/permit"
+	"github.com/wigeonlock/wigeonlock/permitfeed"
 	"github.com/wigeonlock/wigeonlock/platform"
 	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/watch"
@@ -73,6 +75,7 @@
 	watcher      *watch.Watcher
 	changefeed   *changefeed.Server
 	movefeed     *movefeed.Feed
+	permitfeed   *permitfeed.Feed
 	registration *registration
 
 	mu               sync.Mutex
@@ -95,11 +98,19 @@
 	for _, z := range s.Zones {
 		zones[z.Name] = z.Region
 	}
-	g.movefeed = movefeed.New()
+	g.movefeed, g.permitfeed = movefeed.New(), permitfeed.New()
+	permits := &permit.Book{Self: s.Instance, RegionOf: func(zone string) string { return zones[zone] }, Members: g.issuers, Send: g.permitfeed.Send}
+	g.permitfeed.Listen, g.permitfeed.Book, g.permitfeed.Log = s.Permits.Listen, permits, g.Log
+	g.permitfeed.Neighbours = func() []string {
+		return g.servingNeighbours(func(m directory.Member) string { return m.Permits })
+	}
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Permits: permits,
+	}
+	g.movefeed.Listen = s.Peers.Listen
+	g.movefeed.Neighbours = func() []string {
+		return g.servingNeighbours(func(m directory.Member) string { return m.Peers })
 	}
-	g.movefeed.Listen, g.movefeed.Neighbours = s.Peers.Listen, g.servingNeighbours
 	g.movefeed.Moves, g.movefeed.Log = g.forward, g.Log
 	g.forward.Prepare(s.sharedLimits())
 	g.pool.OnIdleClose = g.forward.IdleConnClosed
@@ -109,7 +120,7 @@
 	g.frontend = &frontend.Server{HeaderNames: platform.CallerHeaders(), Handler: g.forward, Limits: g.currentLimits, Log: g.Log}
 	g.directory.Self = directory.Member{
 		Name: s.Instance, Address: s.Callers.Address(), Zone: s.Zone, Region: s.Region,
-		Peers: s.Peers.Address(), Started: g.startedAt.UnixMilli(), Capacity: s.capacity(),
+		Peers: s.Peers.Address(), Permits: s.Permits.Address(), Started: g.startedAt.UnixMilli(), Capacity: s.capacity(),
 	}
 	g.watcher = &watch.Watcher{
 		Feed: g.client, Sink: &platform.Sink{Listener: g}, Interval: _watchInterval, Log: g.Log,
@@ -160,6 +171,7 @@
 		return g.changefeed.Serve(peers)
 	})
 	k.Go("moves", g.movefeed.Run)
+	k.Go("permits", g.permitfeed.Run)
 	k.Go("front", func(context.Context) error { return g.frontend.Serve(callers) })
 	k.Go("follow", g.watcher.Run)
 	k.Go("presence", g.registration.run)
@@ -292,15 +304,27 @@
 	return start, nil
 }
 
+// issuers returns the registered instances, which may issue permits.
+func (g *Gateway) issuers() []permit.Instance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := g.directory.Members()
+	list := make([]permit.Instance, 0, len(members))
+	for _, m := range members {
+		list = append(list, permit.Instance{Name: m.Name, Zone: m.Zone, Region: m.Region, Address: m.Permits})
+	}
+	return list
+}
+
 // servingNeighbours returns the addresses of the other instances that serve the callers
 // of the local region.
-func (g *Gateway) servingNeighbours() []string {
+func (g *Gateway) servingNeighbours(address func(m directory.Member) string) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	members := g.directory.ServingNeighbours()
 	addresses := make([]string, 0, len(members))
 	for _, m := range members {
-		addresses = append(addresses, m.Peers)
+		addresses = append(addresses, address(m))
 	}
 	return addresses
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 	s := gateway.Default()
 	s.Instance, s.Region, s.Zone = name, "r", zone
 	s.Zones = []gateway.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}}
-	s.Callers, s.Readiness, s.Directory, s.Peers, s.Admin = address(), address(), address(), address(), address()
+	s.Callers, s.Readiness, s.Directory, s.Peers, s.Permits, s.Admin = address(), address(), address(), address(), address(), address()
 	s.Store.Address = kv.Address()
 	s.StopSeconds = 2
 	change(&s)
@@ -362,7 +362,7 @@
 func TestSettings(t *testing.T) {
 	good := `{"instance":"e","region":"r","zone":"a","zones":[{"name":"a","region":"r"}],
 "callers":{"listen":"127.0.0.1:1"},"readiness":{"listen":"127.0.0.1:2"},"directory":{"listen":"127.0.0.1:3"},
-"peers":{"listen":"127.0.0.1:4"},"store":{"address":"127.0.0.1:5"}}`
+"peers":{"listen":"127.0.0.1:4"},"permits":{"listen":"127.0.0.1:6"},"store":{"address":"127.0.0.1:5"}}`
 	s, err := gateway.Parse("f.jsonc", []byte(good))
 	require.NoError(t, err)
 	assert.Equal(t, 6*time.Second, s.Stop())
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -25,10 +25,12 @@
 	Callers   settings.Listener `json:"callers"`
 	Readiness settings.Listener `json:"readiness"`
 	Directory settings.Listener `json:"directory"`
-	// Peers serves the neighbours.
-	Peers settings.Listener `json:"peers"`
-	Admin settings.Listener `json:"admin"`
-	Store Store             `json:"store"`
+	// Peers serves the neighbours, Permits the datagrams of all instances about limits of
+	// workers.
+	Peers   settings.Listener `json:"peers"`
+	Permits settings.Listener `json:"permits"`
+	Admin   settings.Listener `json:"admin"`
+	Store   Store             `json:"store"`
 	// MemoryMb is the memory that the process may use, in MB.
 	MemoryMb int `json:"memoryMb"`
 	// Cores and LinkMbit are the CPU cores and the bandwidth, in Mbit/s, of the
@@ -114,6 +116,7 @@
 		{"/readiness/listen", s.Readiness.Listen},
 		{"/directory/listen", s.Directory.Listen},
 		{"/peers/listen", s.Peers.Listen},
+		{"/permits/listen", s.Permits.Listen},
 		{"/store/address", s.Store.Address},
 	}
 	for _, a := range addresses {
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -286,7 +286,7 @@
 		Service: "s", Object: strconv.Itoa(run.rand.IntN(_placementObjects)), Sticky: true,
 		RegionInstances: _placementInstances, Instances: _placementInstances * len(_placementWorkers),
 		MayServe: func(string) bool { return true }, Closed: func(string) bool { return false },
-		PermitCold: func(*worker.Worker) bool { return true },
+		Permit: func(*worker.Worker, bool) placement.Permission { return placement.Granted },
 	}
 	sent := at
 	for range 2 {
--- a/placement/pacer.go
+++ b/placement/pacer.go
@@ -29,14 +29,7 @@
 // records the request. perSecond is the limit for all instances together in any one
 // second.
 func (p *Pacer) Allow(now time.Time, id string, perSecond float64, instances []string) bool {
-	if !p.owns(id, instances) {
-		return false
-	}
-	pace := perSecond * _pacerMargin / _pacerOwners
-	if pace < 1 {
-		return false
-	}
-	if now.Sub(p.last[id]) < time.Duration(float64(time.Second)/pace) {
+	if !p.Ready(now, id, perSecond, instances) {
 		return false
 	}
 	if p.last == nil {
@@ -46,6 +39,15 @@
 	return true
 }
 
+// Ready reports whether Allow would allow a request.
+func (p *Pacer) Ready(now time.Time, id string, perSecond float64, instances []string) bool {
+	if !p.owns(id, instances) {
+		return false
+	}
+	pace := perSecond * _pacerMargin / _pacerOwners
+	return pace >= 1 && now.Sub(p.last[id]) >= time.Duration(float64(time.Second)/pace)
+}
+
 // owns reports whether this instance is one of the owners of a worker.
 func (p *Pacer) owns(id string, instances []string) bool {
 	workerHash := xxhash.Sum64String(id)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,6 +66,8 @@
 	NoWorkers  Reason = "noWorkers"
 	NoCapacity Reason = "noRoom"
 	AllTried   Reason = "allTried"
+	// AwaitsPermit means that the permit for the worker is pending.
+	AwaitsPermit Reason = "awaitsPermit"
 )
 
 // Request holds the properties of a request that decide its worker.
@@ -85,17 +87,33 @@
 	// Large is set if answers are so large that transferring one from another
 	// region costs about as much as the answer is worth.
 	Large bool
+	// Again is set if Choose was called for the request before, and a permit was pending.
+	Again bool
 	// Returning is set if the caller was refused before and was told to return.
 	Returning bool
 	// RegionInstances is the number of instances that share the region's requests,
 	// Instances the number of those that share the requests of all regions.
 	RegionInstances int
 	Instances       int
-	// PermitCold requests a cold-start permit: it reports whether a request may be
-	// sent to a cold worker, and counts that request against its rate limit.
-	PermitCold func(w *worker.Worker) bool
+	// Permit requests a permit to send the request to a worker, which may be cold or have
+	// named a limit. A granted permit counts against the limits of the worker.
+	Permit func(w *worker.Worker, cold bool) Permission
+	// ShareOf, if set, returns the part of its objects that a worker keeps, from 0 to 1.
+	// A worker that named a limit keeps only some.
+	ShareOf func(w *worker.Worker) float64
 }
 
+// Permission is the answer to a request for a permit.
+type Permission string
+
+// Permissions.
+const (
+	Granted Permission = "granted"
+	Denied  Permission = "denied"
+	// Pending means that the answer is not known yet: Choose has to be called again.
+	Pending Permission = "pending"
+)
+
 // Choice is the result of Choose.
 type Choice struct {
 	Worker *worker.Worker
@@ -184,15 +202,30 @@
 	rank int
 }
 
-// Choose returns the worker for a request, or the reason why there is none. It
-// requests a cold-start permit only for a worker that it would return, since each
-// permit uses up part of a rate limit.
+// Choose returns the worker for a request, or the reason why there is none. It requests a
+// permit only for a worker that it would return, since each permit uses up part of a rate
+// limit.
 func (p *Placer) Choose(now time.Time, r Request, workers []*worker.Worker) Choice {
 	object := xxhash.Sum64String(r.Object)
-	if len(r.Tried) == 0 {
+	if len(r.Tried) == 0 && !r.Again {
 		p.localShareFor(shareKey{r.Service, r.Large}).recordArrival(now)
 	}
+	left := p.rank(now, r, object, workers)
+	if left == 0 {
+		return p.chooseRanked(now, r, object)
+	}
+	c := p.chooseRanked(now, r, object)
+	if c.Worker != nil || c.Reason == AwaitsPermit {
+		return c
+	}
+	// No other worker can take the object, so those that do not keep it are asked, too.
+	r.ShareOf = nil
 	p.rank(now, r, object, workers)
+	return p.chooseRanked(now, r, object)
+}
+
+// chooseRanked chooses among the ranked workers.
+func (p *Placer) chooseRanked(now time.Time, r Request, object uint64) Choice {
 	if len(p.ranking) == 0 {
 		return Choice{Reason: NoWorkers}
 	}
@@ -202,13 +235,17 @@
 		if c.Worker == nil {
 			return c
 		}
-		if !p.mayBeCold(now, c.Worker) || r.PermitCold(c.Worker) {
+		switch r.Permit(c.Worker, p.mayBeCold(now, c.Worker)) {
+		case Granted:
 			if r.Sticky {
 				p.recordPlace(now, r.Service, object, c)
 			}
 			return c
+		case Pending:
+			return Choice{Reason: AwaitsPermit}
+		case Denied:
+			refused = append(refused, c.Worker.ID)
 		}
-		refused = append(refused, c.Worker.ID)
 	}
 }
 
@@ -225,8 +262,7 @@
 }
 
 // best returns the place of an object if it has capacity, or else a worker that
-// takes the object over. Workers in refused, which are cold and got no permit, are
-// skipped.
+// takes the object over. Workers in refused, for which there was no permit, are skipped.
 func (p *Placer) best(now time.Time, r Request, object uint64, refused []string) Choice {
 	p.ranking = slices.DeleteFunc(p.ranking, func(candidate ranked) bool {
 		w := candidate.w
@@ -284,7 +320,7 @@
 		}
 		c := p.choice(now, object, i)
 		s := p.state(c.Worker.ID)
-		if !c.Warm && c.Load >= _moveLoad || s.full(now, r, c.Load) || s.health.cost(now) >= _unhealthyCost {
+		if !c.Warm && c.Load >= _moveLoad || s.full(now, r, c.Load) || s.health.cost(now) >= _unhealthyCost || r.share(c.Worker) < 1 {
 			continue
 		}
 		if taken := c.Load + runCost(c.Warm); taken < cost {
@@ -345,8 +381,9 @@
 }
 
 // rank sorts the workers that may serve a request, best first. Local objects rank
-// the workers of the local region before the others, other objects after them.
-func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) {
+// the workers of the local region before the others, other objects after them. It returns
+// the number of workers that were left out because they do not keep the object.
+func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) (leftOut int) {
 	p.ranking = p.ranking[:0]
 	localSlots, allSlots := 0, 0
 	for _, w := range workers {
@@ -359,6 +396,10 @@
 		if local {
 			localSlots += w.Slots
 		}
+		if !r.keeps(w, object) {
+			leftOut++
+			continue
+		}
 		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), local, 0})
 	}
 	isLocal := unit(mix(object)) < p.updateLocalShare(now, r, localSlots, allSlots, workers)
@@ -372,6 +413,21 @@
 	for i := range p.ranking {
 		p.ranking[i].rank = i
 	}
+	return leftOut
+}
+
+// share returns the part of its objects that a worker keeps.
+func (r Request) share(w *worker.Worker) float64 {
+	if r.ShareOf == nil {
+		return 1
+	}
+	return r.ShareOf(w)
+}
+
+// keeps reports whether an object is among those that a worker keeps.
+func (r Request) keeps(w *worker.Worker, object uint64) bool {
+	share := r.share(w)
+	return share >= 1 || unit(mix(^object^xxhash.Sum64String(w.ID))) < share
 }
 
 // score returns the weighted rendezvous score of a worker for an object.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -32,12 +32,20 @@
 	return &Placer{Region: "a", RegionOf: func(z string) string { return z }}
 }
 
+// permitWarm grants permits for workers that are not cold.
+func permitWarm(_ *worker.Worker, cold bool) Permission {
+	if cold {
+		return Denied
+	}
+	return Granted
+}
+
 func requestFor(object string) Request {
 	return Request{
 		Service: "s", Object: object, Sticky: true, RegionInstances: 1, Instances: 1,
-		MayServe:   func(string) bool { return true },
-		Closed:     func(string) bool { return false },
-		PermitCold: func(*worker.Worker) bool { return false },
+		MayServe: func(string) bool { return true },
+		Closed:   func(string) bool { return false },
+		Permit:   permitWarm,
 	}
 }
 
@@ -177,7 +185,12 @@
 	}
 	r := requestFor("x")
 	permits := 0
-	r.PermitCold = func(*worker.Worker) bool { permits++; return true }
+	r.Permit = func(_ *worker.Worker, cold bool) Permission {
+		if cold {
+			permits++
+		}
+		return Granted
+	}
 	assert.Equal(t, first, newPlacer().Choose(_start, r, workers).Worker)
 	assert.Zero(t, permits)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,6 +83,7 @@
 	UnknownRoute       Reason = "unknownRoute"
 	RetryBudget        Reason = "retryBudget"
 	NoWorkers          Reason = "noWorkers"
+	WorkerLimit        Reason = "workerLimit"
 	Internal           Reason = "internal"
 )
 
--- a/soak/play/process.go
+++ b/soak/play/process.go
@@ -28,6 +28,7 @@
 	_portDirectory = 8644
 	_portPeers     = 7620
 	_portAdmin     = 7621
+	_portPermits   = 7622
 )
 
 // instance is one entry instance, whose process is restarted after events that end
@@ -62,7 +63,7 @@
 	settings := map[string]any{
 		"instance": i.name, "region": _regions[i.zone], "zone": i.zone, "zones": zoneSettings(),
 		"callers": listen(_portCallers), "readiness": listen(_portReady), "directory": listen(_portDirectory),
-		"peers": peers, "admin": listen(_portAdmin), "store": map[string]any{"address": i.store.Address()},
+		"peers": peers, "permits": listen(_portPermits), "admin": listen(_portAdmin), "store": map[string]any{"address": i.store.Address()},
 		"memoryMb": 256, "cores": 0.5, "linkMbit": 1000, "stopSeconds": _stopTime.Seconds(), "ttlSeconds": 5,
 		"retry": map[string]any{"ratio": limits.RetryRatio, "extra": extra, "windowSeconds": limits.RetryWindow.Seconds()},
 		"cold":  map[string]any{"overrun": _coldOverrun, "slack": _coldSlack},
