Objects stay where they are warm when all workers have named limits

Why this works: an object leaves a limited worker only for one that is not limited. Without a permit, and with no such worker, its request is refused at once.

--- a/permit/holder.go
+++ b/permit/holder.go
@@ -109,6 +109,7 @@
 func (b *Book) ask(now time.Time, h *holding, want int) {
 	h.updateRate(now)
 	ask := Ask{Notice: noticeOf(now, h), Want: max(want, h.waiting), Demand: h.demand}
+	ask.Share = grownShare(h.share, now.Sub(h.shareAt))
 	h.demand, h.askedAt, h.waiting = 0, now, 0
 	issuer, _ := b.issuer(now, h.worker)
 	if issuer.Name == b.Self {
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -30,14 +30,14 @@
 	// The share changes at most once in _minPeriod, and from _minOffered requests on, or
 	// after the time of as many permits; not if the change is below _shareTolerance.
 	_minPeriod      = 500 * time.Millisecond
-	_minOffered     = 16
+	_minOffered     = 8
 	_shareTolerance = 0.15
 	// _demandWeight is the weight of a new period in the mean demand.
 	_demandWeight = 0.5
 	// _quietTime is the time without news of the share from which it grows, by a factor of
 	// _quietGrowth a second.
-	_quietTime   = 4 * time.Second
-	_quietGrowth = 1.15
+	_quietTime   = 2 * time.Second
+	_quietGrowth = 1.3
 )
 
 var (
--- a/placement/limited_test.go
+++ b/placement/limited_test.go
@@ -111,3 +111,22 @@
 	require.NotNil(t, p.Choose(_start.Add(time.Millisecond), r, workers).Worker)
 	assert.Equal(t, 1, p.localShareFor(shareKey{"s", false}).count)
 }
+
+// TestOverloadedLimitsKeepObjectsWarm has all workers name limits: a request without a permit
+// is refused at once, and takes no permit of a worker where its object is cold.
+func TestOverloadedLimitsKeepObjectsWarm(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 4}, 4)
+	p := newPlacer()
+	for n := range 50 {
+		r := requestFor(fmt.Sprint(n))
+		r.ShareOf = func(*worker.Worker) float64 { return 0.3 }
+		place := p.Choose(_start, r, workers).Worker
+		assert.Equal(t, newPlacer().Choose(_start, requestFor(r.Object), workers).Worker, place, "objects stay")
+		p.Begin(_start, r, place)
+		p.End(_start, place, Report{Outcome: Answered})
+		asked := 0
+		r.Permit = func(*worker.Worker, bool) Permission { asked++; return Denied }
+		assert.Nil(t, p.Choose(_start, r, workers).Worker)
+		assert.Equal(t, 1, asked)
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -210,16 +210,13 @@
 	if len(r.Tried) == 0 && !r.Again {
 		p.localShareFor(shareKey{r.Service, r.Large}).recordArrival(now)
 	}
-	left := p.rank(now, r, object, workers)
-	if left == 0 {
-		return p.chooseRanked(now, r, object)
-	}
+	p.rank(now, r, object, workers)
+	leftOut := p.leaveOutLimited(r, object)
 	c := p.chooseRanked(now, r, object)
-	if c.Worker != nil || c.Reason == AwaitsPermit {
+	if !leftOut || c.Worker != nil || c.Reason == AwaitsPermit {
 		return c
 	}
-	// No other worker can take the object, so those that do not keep it are asked, too.
-	r.ShareOf = nil
+	// No other worker can take the object.
 	p.rank(now, r, object, workers)
 	return p.chooseRanked(now, r, object)
 }
@@ -262,11 +259,14 @@
 }
 
 // best returns the place of an object if it has capacity, or else a worker that
-// takes the object over. Workers in refused, for which there was no permit, are skipped.
+// takes the object over. Workers in refused, for which there was no permit, are skipped, and
+// then also limited ones where the object is cold: a cold run there would use a permit that
+// a warm object needs.
 func (p *Placer) best(now time.Time, r Request, object uint64, refused []string) Choice {
 	p.ranking = slices.DeleteFunc(p.ranking, func(candidate ranked) bool {
 		w := candidate.w
-		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, p.state(w.ID))
+		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, p.state(w.ID)) ||
+			len(refused) > 0 && r.share(w) < 1 && !p.warm.contains(now, object, w.ID)
 	})
 	if len(p.ranking) == 0 {
 		return Choice{Reason: AllTried}
@@ -381,9 +381,8 @@
 }
 
 // rank sorts the workers that may serve a request, best first. Local objects rank
-// the workers of the local region before the others, other objects after them. It returns
-// the number of workers that were left out because they do not keep the object.
-func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) (leftOut int) {
+// the workers of the local region before the others, other objects after them.
+func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) {
 	p.ranking = p.ranking[:0]
 	localSlots, allSlots := 0, 0
 	for _, w := range workers {
@@ -396,10 +395,6 @@
 		if local {
 			localSlots += w.Slots
 		}
-		if !r.keeps(w, object) {
-			leftOut++
-			continue
-		}
 		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), local, 0})
 	}
 	isLocal := unit(mix(object)) < p.updateLocalShare(now, r, localSlots, allSlots, workers)
@@ -413,7 +408,21 @@
 	for i := range p.ranking {
 		p.ranking[i].rank = i
 	}
-	return leftOut
+}
+
+// leaveOutLimited removes the limited workers from the ranking, except the first if it keeps
+// the object, and reports whether it removed any. If all workers are limited, objects stay
+// where they are warm.
+func (p *Placer) leaveOutLimited(r Request, object uint64) bool {
+	isLimited := func(candidate ranked) bool { return r.share(candidate.w) < 1 }
+	if r.ShareOf == nil || !slices.ContainsFunc(p.ranking, func(candidate ranked) bool { return !isLimited(candidate) }) {
+		return false
+	}
+	before := len(p.ranking)
+	p.ranking = slices.DeleteFunc(p.ranking, func(candidate ranked) bool {
+		return isLimited(candidate) && (candidate.rank > 0 || !r.keeps(candidate.w, object))
+	})
+	return len(p.ranking) < before
 }
 
 // share returns the part of its objects that a worker keeps.
