The soak names limits

The invariant "limited" counts what reaches a worker from the processes that had passed on an answer with its limit. Datagrams between instances go through a relay that the faults of their links apply to.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -48,6 +48,8 @@
 	Budget Invariant = "budget"
 	// Cold: a cold worker receives no more requests per second than it tolerates.
 	Cold Invariant = "cold"
+	// Limited: a worker that names a limit receives no more from all instances together.
+	Limited Invariant = "limited"
 	// Answered: an accepted request is answered, also by an instance that is
 	// shutting down.
 	Answered Invariant = "answered"
@@ -159,6 +161,15 @@
 	Until time.Time
 }
 
+// WorkerLimit is a period in which a worker names a limit.
+type WorkerLimit struct {
+	Worker    string
+	PerSecond float64
+	From      time.Time
+	// Until is zero while the limit holds.
+	Until time.Time
+}
+
 // Limits holds the time limits, rates and budgets that the invariants allow.
 type Limits struct {
 	// SettleTime is how long an instance must have been undisturbed before
@@ -187,6 +198,13 @@
 	// ColdBurst is the number of requests that a cold worker may receive in a
 	// second.
 	ColdBurst int
+	// Within LimitWindow, a worker that names a limit takes LimitFactor times as many
+	// requests as that allows, plus LimitSlack, from the instances that heard of it
+	// LimitNotice before. That begins SettleTime after the first naming.
+	LimitWindow time.Duration
+	LimitNotice time.Duration
+	LimitFactor float64
+	LimitSlack  float64
 	// StopAccepting is how long an instance accepts requests after a stop was
 	// requested.
 	StopAccepting time.Duration
@@ -203,6 +221,7 @@
 		SettleTime: 4 * time.Second, Config: 2500 * time.Millisecond, Revert: 250 * time.Millisecond,
 		Drain: 2500 * time.Millisecond, Evacuate: 5 * time.Second, Tolerance: 500 * time.Millisecond,
 		CloseRace: 200 * time.Millisecond, RetryRatio: 0.02, RetryExtra: 20, RetryWindow: 10 * time.Second,
+		LimitWindow: 4 * time.Second, LimitNotice: 500 * time.Millisecond, LimitFactor: 1.5, LimitSlack: 5,
 		ColdBurst: 27, StopAccepting: 3 * time.Second, DirectoryStale: 7 * time.Second, Tail: 1500 * time.Millisecond,
 	}
 }
@@ -214,6 +233,7 @@
 	Visits           []standin.Visit
 	Acks             []Ack
 	Disruptions      []Disruption
+	WorkerLimits     []WorkerLimit
 	Stops            []Stop
 	DirectoryAnswers []DirectoryAnswer
 	Downtimes        []Downtime
@@ -255,6 +275,7 @@
 	{NeverBack, false, neverBack},
 	{Budget, false, budget},
 	{Cold, true, cold},
+	{Limited, true, limited},
 	{Answered, false, answered},
 	{Stopped, false, stopped},
 	{Recovered, true, recovered},
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -112,6 +112,17 @@
 				l.Visits = append(l.Visits, v)
 			}
 		}},
+		{check.Limited, func(l *check.Log) {
+			l.WorkerLimits = []check.WorkerLimit{{Worker: "w1", PerSecond: 2, From: at(16), Until: at(26)}}
+			for i := range 40 {
+				id := fmt.Sprint("limited", i)
+				sent := 17 + 0.2*float64(i)
+				l.Calls = append(l.Calls, call(id, "/idem/1", sent))
+				v := visit(id, "/idem/1", sent)
+				v.LimitNamed = true
+				l.Visits = append(l.Visits, v)
+			}
+		}},
 		{check.Answered, func(l *check.Log) {
 			l.Calls[0].Status, l.Calls[0].Complete, l.Calls[0].ConnLost = 0, false, true
 		}},
@@ -180,3 +191,38 @@
 	assert.Len(t, found, 1)
 	assert.Equal(t, check.OwnAnswer, found[0].Invariant)
 }
+
+// TestLimitBindsInstancesThatHeardOfIt checks whose requests count against a limit: those of
+// undisturbed processes that had passed on an answer which named it.
+func TestLimitBindsInstancesThatHeardOfIt(t *testing.T) {
+	broken := func(change func(l *check.Log)) bool {
+		l := validLog()
+		l.WorkerLimits = []check.WorkerLimit{{Worker: "w1", PerSecond: 2, From: at(16), Until: at(26)}}
+		for i := range 40 {
+			id := fmt.Sprint("limited", i)
+			sent := 17 + 0.2*float64(i)
+			l.Calls = append(l.Calls, call(id, "/idem/1", sent))
+			v := visit(id, "/idem/1", sent)
+			v.LimitNamed = true
+			l.Visits = append(l.Visits, v)
+		}
+		change(l)
+		return len(check.Evaluate(l)) > 0
+	}
+	assert.True(t, broken(func(*check.Log) {}))
+	assert.False(t, broken(func(l *check.Log) { l.WorkerLimits[0].PerSecond = 4 }))
+	assert.False(t, broken(func(l *check.Log) { l.WorkerLimits[0].Until = at(19) }), "not yet binding")
+	assert.False(t, broken(func(l *check.Log) {
+		for i := range l.Visits {
+			l.Visits[i].LimitNamed = false
+		}
+	}), "nobody heard of it")
+	assert.False(t, broken(func(l *check.Log) {
+		for i := range l.Calls {
+			l.Calls[i].Incarnation = i
+		}
+	}), "each process is new")
+	assert.False(t, broken(func(l *check.Log) {
+		l.Disruptions = []check.Disruption{{Instance: "one", From: at(18), Until: at(24), Cause: "freeze"}}
+	}))
+}
--- a/soak/check/system.go
+++ b/soak/check/system.go
@@ -95,10 +95,6 @@
 // version, it finds the paths of this version and of earlier ones, unless a later
 // version removed them.
 func neverBack(c *checker) {
-	type process struct {
-		instance    string
-		incarnation int
-	}
 	processes := make(map[process][]*Call)
 	for i := range c.Calls {
 		call := &c.Calls[i]
--- a/soak/fault/fault.go
+++ b/soak/fault/fault.go
@@ -44,6 +44,8 @@
 	Crash       Kind = "crash"
 	ColdAgain   Kind = "coldAgain"
 	WorkerFault Kind = "misbehave"
+	// Limit has a worker name a limit in its answers.
+	Limit Kind = "limit"
 	// Operator events.
 	Configure Kind = "configure"
 	Evacuate  Kind = "evacuate"
@@ -59,7 +61,7 @@
 	Target int `json:"target,omitempty"`
 	// Mode selects how a link, the store or a worker fails.
 	Mode string `json:"how,omitempty"`
-	// Share is the share of a worker's requests that are affected.
+	// Share is the share of a worker's requests that are affected, or that it takes.
 	Share float64 `json:"share,omitempty"`
 }
 
@@ -134,6 +136,11 @@
 	// _simultaneousShare is the share of events that start at the same time as the
 	// previously drawn event.
 	_simultaneousShare = 0.3
+	// _maxLimits is the largest number of limits in a schedule, and _minLimitTime and
+	// _maxLimitTime are the shortest and the longest time for which a worker names one.
+	_maxLimits    = 3
+	_minLimitTime = 5 * time.Second
+	_maxLimitTime = 10 * time.Second
 	// _minShare is the smallest share of a worker's requests that are affected.
 	_minShare = 0.05
 )
@@ -153,10 +160,27 @@
 		}
 		events = append(events, e)
 	}
+	events = append(events, drawLimits(seed, window, t)...)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
 	return events
 }
 
+// drawLimits draws the limits that workers name, from numbers of their own, so that the other
+// events of a seed do not depend on them. Most begin early, as an instance must keep one only
+// after a while.
+func drawLimits(seed uint64, window time.Duration, t Topology) []Event {
+	r := rand.New(rand.NewPCG(seed, uint64(Limit[0])))
+	events := make([]Event, r.IntN(_maxLimits+1))
+	for i := range events {
+		events[i] = Event{
+			At: _quietStart + time.Duration(r.Float64()*r.Float64()*float64(window)), Kind: Limit, Target: r.IntN(t.Workers),
+			Duration: _minLimitTime + time.Duration(r.Int64N(int64(_maxLimitTime-_minLimitTime))),
+			Share:    _minShare + r.Float64()*(1-_minShare),
+		}
+	}
+	return events
+}
+
 // drawEvent draws everything of an event except its time.
 func drawEvent(r *rand.Rand, t Topology) Event {
 	total := 0
--- a/soak/fault/fault_test.go
+++ b/soak/fault/fault_test.go
@@ -33,7 +33,7 @@
 			seen[e.Kind] = true
 		}
 	}
-	assert.Len(t, seen, 18)
+	assert.Len(t, seen, 19)
 }
 
 func TestShrinkFindsMinimalSchedule(t *testing.T) {
--- a/soak/play/event.go
+++ b/soak/play/event.go
@@ -51,7 +51,9 @@
 		r.disturbLink(i.store, e, check.Disruption{Instance: i.name, Cause: "store link"})
 	case fault.PeerLink:
 		i := r.instances[e.Target]
+		i.permits.Set(link.State(e.Mode))
 		r.disturbLink(i.peers, e, check.Disruption{Instance: i.name, Cause: "peer link"})
+		i.permits.Set(link.Passing)
 	case fault.WorkerLink:
 		h := r.workerHosts[e.Target]
 		b, _, _ := h.current()
@@ -78,6 +80,8 @@
 		r.workerHosts[e.Target].makeCold()
 	case fault.WorkerFault:
 		r.workerHosts[e.Target].injectFaults(e.Mode, e.Share, e.Duration)
+	case fault.Limit:
+		r.workerHosts[e.Target].nameLimit(e.Share, e.Duration)
 	case fault.Configure:
 		r.configure()
 	case fault.Evacuate:
--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -216,6 +216,10 @@
 		store: &link.Link{Target: r.kv.Address()},
 	}
 	i.peers = &link.Link{Target: i.address(_portPeers)}
+	i.permits = &link.Datagrams{Target: i.address(_portPermits)}
+	if err := i.permits.Listen("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
 	for _, l := range []*link.Link{i.store, i.peers} {
 		if err := l.Listen("127.0.0.1:0"); err != nil {
 			return nil, err
@@ -233,6 +237,7 @@
 		}
 		i.store.Close()
 		i.peers.Close()
+		i.permits.Close()
 	}
 	for _, h := range r.workerHosts {
 		h.link.Close()
@@ -318,6 +323,7 @@
 	log := r.log
 	// The entries of these slices are updated later; the others are append-only.
 	log.Disruptions, log.Stops, log.Downtimes = slices.Clone(log.Disruptions), slices.Clone(log.Stops), slices.Clone(log.Downtimes)
+	log.WorkerLimits = slices.Clone(log.WorkerLimits)
 	backends := r.backends
 	r.mu.Unlock()
 	known := make(map[string]bool, len(log.Calls))
@@ -373,6 +379,16 @@
 	return func() { r.record(func(l *check.Log) { l.Disruptions[index].Until = time.Now() }) }
 }
 
+// recordLimit records that a worker names a limit until end is called.
+func (r *run) recordLimit(worker string, perSecond float64) (end func()) {
+	index := 0
+	r.record(func(l *check.Log) {
+		l.WorkerLimits = append(l.WorkerLimits, check.WorkerLimit{Worker: worker, PerSecond: perSecond, From: time.Now()})
+		index = len(l.WorkerLimits) - 1
+	})
+	return func() { r.record(func(l *check.Log) { l.WorkerLimits[index].Until = time.Now() }) }
+}
+
 func (r *run) addBackend(b *standin.Backend) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -33,6 +33,7 @@
 		event(0.5, fault.WorkerFault, 2, "extra", 3, 0.3),
 		event(0.5, fault.WorkerFault, 3, "late", 3, 0.3),
 		event(0.7, fault.WorkerFault, 5, "truncate", 3, 0.3),
+		event(0.5, fault.Limit, 7, "", 5, 0.3),
 		event(1, fault.Configure, 0, "", 0, 0),
 		event(1, fault.StoreFault, 0, "losesWrites", 1, 0),
 		event(1.5, fault.Terminate, 1, "", 0, 0),
--- a/soak/play/process.go
+++ b/soak/play/process.go
@@ -40,6 +40,8 @@
 	zone  string
 	store *link.Link
 	peers *link.Link
+	// permits relays the datagrams about permits.
+	permits *link.Datagrams
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -60,10 +62,12 @@
 	listen := func(port int) map[string]any { return map[string]any{"listen": i.address(port)} }
 	peers := listen(_portPeers)
 	peers["advertise"] = i.peers.Address()
+	permits := listen(_portPermits)
+	permits["advertise"] = i.permits.Address()
 	settings := map[string]any{
 		"instance": i.name, "region": _regions[i.zone], "zone": i.zone, "zones": zoneSettings(),
 		"callers": listen(_portCallers), "readiness": listen(_portReady), "directory": listen(_portDirectory),
-		"peers": peers, "permits": listen(_portPermits), "admin": listen(_portAdmin), "store": map[string]any{"address": i.store.Address()},
+		"peers": peers, "permits": permits, "admin": listen(_portAdmin), "store": map[string]any{"address": i.store.Address()},
 		"memoryMb": 256, "cores": 0.5, "linkMbit": 1000, "stopSeconds": _stopTime.Seconds(), "ttlSeconds": 5,
 		"retry": map[string]any{"ratio": limits.RetryRatio, "extra": extra, "windowSeconds": limits.RetryWindow.Seconds()},
 		"cold":  map[string]any{"overrun": _coldOverrun, "slack": _coldSlack},
--- a/soak/play/worker.go
+++ b/soak/play/worker.go
@@ -25,6 +25,9 @@
 	_slots       = 4
 	_queue       = 8
 	_serviceTime = 25 * time.Millisecond
+	// _limitRate is the highest limit that a worker names, in requests per second, about half
+	// of what it gets otherwise.
+	_limitRate = 15
 	// _slowServiceTime is how long a request of the slow route takes.
 	_slowServiceTime = 1200 * time.Millisecond
 )
@@ -160,6 +163,22 @@
 	})
 }
 
+// nameLimit makes the worker name a limit for a while, at most until it ends. share is the part
+// of _limitRate that it takes.
+func (h *workerHost) nameLimit(share float64, d time.Duration) {
+	b, _, _ := h.current()
+	perSecond := share * _limitRate
+	end := h.run.recordLimit(b.ID, perSecond)
+	b.NameLimit(&perSecond)
+	for until := time.Now().Add(d); time.Now().Before(until) && h.run.sleep(_pollInterval); {
+		if now, _, _ := h.current(); now != b {
+			break
+		}
+	}
+	end()
+	b.NameLimit(nil)
+}
+
 // injectFaults makes the worker fail a share of its requests for a while.
 func (h *workerHost) injectFaults(mode string, share float64, d time.Duration) {
 	b, _, _ := h.current()
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -87,6 +87,14 @@
 	return events
 }
 
+// limits returns events in which two workers name low limits.
+func limits() []fault.Event {
+	return []fault.Event{
+		{At: time.Second, Kind: fault.Limit, Duration: 12 * time.Second, Target: 0, Share: 0.1},
+		{At: time.Second, Kind: fault.Limit, Duration: 12 * time.Second, Target: 2, Share: 0.4},
+	}
+}
+
 // All returns the variants. Workers 0, 2, 4 and 6 belong to the first service.
 func All() []Variant {
 	at := func(seconds float64, k fault.Kind, target int) fault.Event {
@@ -157,9 +165,19 @@
 		},
 		{
 			"cold workers are not limited", check.Cold,
-			[]Edit{{_placement, "if !p.mayBeCold(now, c.Worker) ||", "if true ||"}},
+			[]Edit{{_placement, "r.Permit(c.Worker, p.mayBeCold(now, c.Worker))", "r.Permit(c.Worker, false)"}},
 			[]fault.Event{at(1, fault.Crash, 0), at(1, fault.Crash, 2), at(1, fault.Crash, 4), at(1, fault.Crash, 6)},
 		},
+		{
+			"limits of workers are ignored", check.Limited,
+			[]Edit{{"forward/limits.go", "s.Permits.Named(now, w, *r.Limit)", "_ = w"}},
+			limits(),
+		},
+		{
+			"each instance keeps limits by itself", check.Limited,
+			[]Edit{{"permit/order.go", "if len(first) == 0 {", "if true {"}},
+			limits(),
+		},
 		{
 			"a stop aborts requests", check.Answered,
 			[]Edit{
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -62,6 +62,8 @@
 	Ended   time.Time
 	// ServiceTime is the time that the request takes if it is not cancelled.
 	ServiceTime time.Duration
+	// LimitNamed is set if the answer named a limit.
+	LimitNamed bool
 	// Misdirected is set if the request was meant for another worker. Fault is the
 	// fault injected into the answer, or empty.
 	Misdirected bool
@@ -211,7 +213,7 @@
 		return
 	}
 	if v.Fault == FaultShed || !b.acquireSlot(r) {
-		b.setLoadHeaders(w)
+		b.setLoadHeaders(w, v)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -296,9 +298,10 @@
 
 // setLoadHeaders adds the load report, which is busy slots, waiting requests and all
 // slots, and the limit.
-func (b *Backend) setLoadHeaders(w http.ResponseWriter) {
+func (b *Backend) setLoadHeaders(w http.ResponseWriter, v *Visit) {
 	b.mu.Lock()
 	waiting, limit := b.waiting, b.limit
+	v.LimitNamed = limit != nil
 	b.mu.Unlock()
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", len(b.slots), waiting, b.Slots))
 	if limit != nil {
@@ -314,7 +317,7 @@
 		n = _bodyUnitBytes
 	}
 	body := Body(v.RequestID, n)
-	b.setLoadHeaders(w)
+	b.setLoadHeaders(w, v)
 	w.Header().Set("X-Server-Stamp", b.ID+"."+v.RequestID)
 	w.Header().Set("Content-Length", strconv.Itoa(n))
 	switch v.Fault {
