Idle connections to a worker are limited over all instances

What callers and workers would see: a worker accepts a number of connections from all callers together (the platform's max_conns) and resets those beyond it. Each instance kept up to 16 idle ones by itself and never read that number: 540 instances could keep 8,640 to a worker that accepts 330.

Why this works: each instance keeps its part of four fifths of the connections, by the number of known instances. Where there are fewer connections than instances, a hash of worker and instance decides which of them keep one.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -87,7 +87,7 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	c.used = true
-	p.release(t.Address, c)
+	p.release(t, c)
 	return result
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -84,6 +84,20 @@
 type Target struct {
 	ID      string
 	Address string
+	// MaxIdle is the number of idle connections to the worker that are kept, or NoIdle.
+	// 0 means _maxIdleConns, which is also the largest number.
+	MaxIdle int
+}
+
+// NoIdle is a MaxIdle by which no idle connection is kept.
+const NoIdle = -1
+
+// keepsIdle reports whether one more idle connection is kept, beside n others.
+func (t Target) keepsIdle(n int) bool {
+	if t.MaxIdle == 0 {
+		return n < _maxIdleConns
+	}
+	return n < min(t.MaxIdle, _maxIdleConns)
 }
 
 // Load is the load report of a worker: its running and waiting requests and its
@@ -213,18 +227,18 @@
 }
 
 // release returns a connection to the pool, or closes it if the pool is full.
-func (p *Pool) release(address string, c *conn) {
+func (p *Pool) release(t Target, c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
 		p.idle = make(map[string][]*conn)
 	}
-	if len(p.idle[address]) >= _maxIdleConns {
+	if !t.keepsIdle(len(p.idle[t.Address])) {
 		c.close()
 		return
 	}
-	p.idle[address] = append(p.idle[address], c)
+	p.idle[t.Address] = append(p.idle[t.Address], c)
 }
 
 // CloseIdle closes all idle connections to an address.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -417,3 +417,31 @@
 		})
 	}
 }
+
+// TestIdleConnectionsAreLimited has several requests end at once: only as many connections
+// are kept as the target allows.
+func TestIdleConnectionsAreLimited(t *testing.T) {
+	for maxIdle, want := range map[int]int{0: 16, 2: 2, exchange.NoIdle: 0, 40: 16} {
+		t.Run(fmt.Sprint(maxIdle), func(t *testing.T) {
+			const n = 20
+			var arrived sync.WaitGroup
+			arrived.Add(n)
+			w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+				arrived.Done()
+				arrived.Wait()
+				return ok(r.Header.Get("Id"), "x")
+			})
+			target := w.target()
+			target.MaxIdle = maxIdle
+			pool := &exchange.Pool{HeaderNames: _names}
+			var group sync.WaitGroup
+			for i := range n {
+				group.Go(func() { pool.Do(t.Context(), target, request(fmt.Sprint("q", i)), true) })
+			}
+			group.Wait()
+			_, before := w.counts()
+			assert.Equal(t, n, before)
+			assert.Equal(t, want, pool.IdleConns(target.Address))
+		})
+	}
+}
--- /dev/null
+++ b/exchange/export_test.go
@@ -0,0 +1,8 @@
+package exchange
+
+// IdleConns returns the number of idle connections to an address.
+func (p *Pool) IdleConns(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address])
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -410,7 +410,7 @@
 		s.budget(rs.service).RecordFirst(now)
 	}
 	s.placer.Begin(now, request, c.Worker)
-	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address}, "", nil
+	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address, MaxIdle: s.maxIdle(c.Worker)}, "", nil
 }
 
 // object identifies what the request concerns. Objects of different routes are
