--- a/soak/link/datagram_test.go
+++ b/soak/link/datagram_test.go
@@ -18,8 +18,8 @@
 	go func() {
 		buffer := make([]byte, 64)
 		for {
-			n, from, err := server.ReadFromUDP(buffer)
-			if err != nil {
+			n, from, readErr := server.ReadFromUDP(buffer)
+			if readErr != nil {
 				return
 			}
 			_, _ = server.WriteToUDP(buffer[:n], from)
--- a/soak/play/event.go
+++ b/soak/play/event.go
@@ -96,7 +96,7 @@
 	mayLose := r.lost < _maxLost
 	r.lost++
 	r.mu.Unlock()
-	if !mayLose || i.exitExpected() {
+	if !mayLose || !i.mayEnd() {
 		return
 	}
 	r.recordDisruption(check.Disruption{Instance: i.name, Cause: "lost"})
--- a/soak/play/process.go
+++ b/soak/play/process.go
@@ -115,6 +115,10 @@
 		if !expectExit {
 			l.UnexpectedExits = append(l.UnexpectedExits, i.name)
 		}
+		if i.downtime >= 0 {
+			// It ended again before it was ready.
+			return
+		}
 		l.Downtimes = append(l.Downtimes, check.Downtime{Instance: i.name, From: time.Now()})
 		i.downtime = len(l.Downtimes) - 1
 	})
@@ -174,17 +178,21 @@
 	return i.starts
 }
 
-// exitExpected reports whether the process was sent a signal that ends it, and has
-// not been restarted since.
-func (i *instance) exitExpected() bool {
+// mayEnd reports whether the process may be ended now, and marks it as ending: of two events
+// at the same time, one ends and restarts it.
+func (i *instance) mayEnd() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.expectExit
+	if i.expectExit {
+		return false
+	}
+	i.expectExit = true
+	return true
 }
 
 // kill kills the process and restarts it.
 func (i *instance) kill() {
-	if i.exitExpected() {
+	if !i.mayEnd() {
 		return
 	}
 	end := i.run.recordDisruption(check.Disruption{Instance: i.name, Cause: "kill"})
@@ -209,7 +217,7 @@
 // terminate stops the process as planned and, if restart is set, restarts it. A
 // process that does not exit within _stopTime is killed.
 func (i *instance) terminate(restart bool) {
-	if i.exitExpected() {
+	if !i.mayEnd() {
 		return
 	}
 	end := i.run.recordDisruption(check.Disruption{Instance: i.name, Cause: check.Stopping})
--- a/soak/play/worker.go
+++ b/soak/play/worker.go
@@ -48,6 +48,8 @@
 	// state is the state that the worker reports, or empty if it writes no entry.
 	state   string
 	service string
+	// limits counts the limits that workers named here.
+	limits int
 }
 
 // startWorker starts a worker and registers it. An empty id is replaced by a new one.
@@ -163,22 +165,37 @@
 	})
 }
 
-// nameLimit makes the worker name a limit for a while, at most until it ends. share is the part
-// of _limitRate that it takes.
+// nameLimit makes the worker name a limit for a while, at most until it ends or names another.
+// share is the part of _limitRate that it takes.
 func (h *workerHost) nameLimit(share float64, d time.Duration) {
-	b, _, _ := h.current()
+	b, number := h.nextLimit()
 	perSecond := share * _limitRate
 	end := h.run.recordLimit(b.ID, perSecond)
+	defer end()
 	b.NameLimit(&perSecond)
 	for until := time.Now().Add(d); time.Now().Before(until) && h.run.sleep(_pollInterval); {
-		if now, _, _ := h.current(); now != b {
-			break
+		if now, last := h.currentLimit(); now != b || last != number {
+			return
 		}
 	}
-	end()
 	b.NameLimit(nil)
 }
 
+// nextLimit returns the worker and the number of a limit that it begins to name.
+func (h *workerHost) nextLimit() (*standin.Backend, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits++
+	return h.backend, h.limits
+}
+
+// currentLimit returns the worker and the number of the limit that it named last.
+func (h *workerHost) currentLimit() (*standin.Backend, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.backend, h.limits
+}
+
 // injectFaults makes the worker fail a share of its requests for a while.
 func (h *workerHost) injectFaults(mode string, share float64, d time.Duration) {
 	b, _, _ := h.current()
