Logs and metrics tell who held a request back, and why

"request ended" lists in heldBack each worker for which there was no permit, with its limit, the issuer and the reason: usedUp, issuerSilent or declined. wigeonlock_held_back_total counts by reason and wigeonlock_worker_limit{worker} gives the known limits. explain shows what is known of these workers. A refusal for that reason is workerLimit.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -125,9 +125,14 @@
 		if id := l.get("worker"); id != "" {
 			sc.workers[id] = struct{}{}
 		}
-		var tried []string
-		if json.Unmarshal([]byte(l.raw("tried")), &tried) == nil {
-			for _, id := range tried {
+		for _, field := range []string{"tried", "heldBack"} {
+			var workers []string
+			if json.Unmarshal([]byte(l.raw(field)), &workers) != nil {
+				continue
+			}
+			for _, text := range workers {
+				// The ID comes before the reason of heldBack.
+				id, _, _ := strings.Cut(text, " ")
 				sc.workers[id] = struct{}{}
 			}
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -16,10 +16,11 @@
 
 const _firstLog = `{"level":"info","time":"2026-06-15T15:35:38.100Z","msg":"worker leaving","instance":"edge-1","worker":"i-7","zone":"a"}
 {"level":"info","time":"2026-06-15T15:35:38.150Z","msg":"worker started","instance":"edge-1","worker":"i-8","zone":"a"}
+{"level":"info","time":"2026-06-15T15:35:36.150Z","msg":"worker names a limit","instance":"edge-1","worker":"i-9","zone":"a","perSecond":3.3}
 {"level":"info","time":"2026-06-15T15:35:30.000Z","msg":"worker leaving","instance":"edge-1","worker":"i-7","zone":"a"}
    12.4 edge-1 {"level":"info","time":"2026-06-15T15:35:38.200Z","msg":"attempt failed","instance":"edge-1","request":"q1","worker":"i-7","fault":"refused","load":1.4}
 not a line
-{"level":"info","time":"2026-06-15T15:35:38.400Z","msg":"request ended","instance":"edge-1","request":"q1","reason":"noRoom","status":503,"tried":["i-7"]}
+{"level":"info","time":"2026-06-15T15:35:38.400Z","msg":"request ended","instance":"edge-1","request":"q1","reason":"noRoom","status":503,"tried":["i-7"],"heldBack":["i-9 limit=3.3 issuer=edge-2 usedUp"]}
 {"level":"info","time":"2026-06-15T15:35:38.410Z","msg":"request ended","instance":"edge-1","request":"q11","status":503}
 `
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -237,10 +237,10 @@
 	failedDials int
 	// unknown is set when a worker may have run the request.
 	unknown bool
-	// permitWaits counts the answers of issuers that were waited for, and heldBack holds
-	// the workers that had no permit for the request.
+	// permitWaits counts the answers of issuers that were waited for, and holds are the
+	// workers for which the request got no permit.
 	permitWaits int
-	heldBack    []string
+	holds       []permit.Hold
 	last        exchange.Result
 	// failure is the server error of an earlier worker. It is returned if no other
 	// worker gives an answer.
@@ -403,7 +403,7 @@
 	}
 	rs.choice = c
 	if c.Worker == nil {
-		return exchange.Target{}, reasonOf(c.Reason, rs.heldBack), nil
+		return exchange.Target{}, reasonOf(c.Reason, len(rs.holds) > 0), nil
 	}
 	rs.updateAge = now.Sub(c.Worker.LastUpdate)
 	if len(rs.tried) == 0 {
@@ -428,13 +428,13 @@
 	return rs.route.Sticky && rs.request.Object != ""
 }
 
-// reasonOf returns the reason that callers get when no worker was chosen. heldBack are the
-// workers that had no permit.
-func reasonOf(r placement.Reason, heldBack []string) relay.Reason {
+// reasonOf returns the reason that callers get when no worker was chosen. heldBack is set if
+// there was no permit for a worker.
+func reasonOf(r placement.Reason, heldBack bool) relay.Reason {
 	switch {
 	case r == placement.NoWorkers:
 		return relay.NoWorkers
-	case len(heldBack) > 0:
+	case heldBack:
 		return relay.WorkerLimit
 	}
 	return relay.NoCapacity
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -26,7 +26,6 @@
 	_limitsNamed  = metrics.NewCounter("wigeonlock_worker_limits_named_total")
 	_limitsLifted = metrics.NewCounter("wigeonlock_worker_limits_lifted_total")
 	_limitedSends = metrics.NewCounter("wigeonlock_limited_sends_total")
-	_heldBack     = metrics.NewCounter("wigeonlock_held_back_total")
 )
 
 // hasEnded reports whether an incarnation of a worker has ended. The caller holds s.mu.
@@ -56,7 +55,7 @@
 // permit requests a permit to send a request to a worker. If it is pending, permit returns
 // the channel that is closed when it is not any more. The caller holds s.mu.
 func (s *Service) permit(now time.Time, rs *requestState, w *worker.Worker, cold bool) (placement.Permission, <-chan struct{}) {
-	if slices.Contains(rs.heldBack, w.ID) || cold && !s.coldReady(now, w) {
+	if rs.isHeldBackFrom(w) || cold && !s.coldReady(now, w) {
 		return placement.Denied, nil
 	}
 	verdict, pending := s.Permits.Take(now, limitedWorker(w), rs.permitWaits == 0)
@@ -65,8 +64,9 @@
 		rs.permitWaits++
 		return placement.Pending, pending
 	case verdict != permit.Granted:
-		rs.heldBack = append(rs.heldBack, w.ID)
-		_heldBack.Inc()
+		hold := s.Permits.Hold(now, limitedWorker(w))
+		rs.holds = append(rs.holds, hold)
+		countHold(hold.Denial)
 		return placement.Denied, nil
 	}
 	if cold && !s.permitCold(now, w) {
@@ -76,6 +76,14 @@
 	return placement.Granted, nil
 }
 
+func (rs *requestState) isHeldBackFrom(w *worker.Worker) bool {
+	return slices.ContainsFunc(rs.holds, func(h permit.Hold) bool { return h.Worker == w.ID })
+}
+
+func countHold(denial permit.Denial) {
+	metrics.GetOrCreateCounter(`wigeonlock_held_back_total{reason="` + string(denial) + `"}`).Inc()
+}
+
 // awaitPermit waits until an issuer answered, for _permitTimeout at most.
 func awaitPermit(ctx context.Context, permitted <-chan struct{}) {
 	timer := time.NewTimer(_permitTimeout)
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -45,6 +45,8 @@
 func TestWithoutPermitRefusedAtOnce(t *testing.T) {
 	e := &exchanger{results: []exchange.Result{limited(0.5)}}
 	s := newService(t, e, 1)
+	core, lines := observer.New(zap.InfoLevel)
+	s.Log = zap.New(core)
 	refusals := 0
 	for range 20 {
 		started := time.Now()
@@ -56,6 +58,9 @@
 			assert.Less(t, time.Since(started), 100*time.Millisecond)
 		}
 	}
+	ended := lines.FilterMessage("request ended").All()
+	require.NotEmpty(t, ended)
+	assert.Equal(t, []any{"i-0 limit=0.5 issuer=edge-1 usedUp"}, ended[len(ended)-1].ContextMap()["heldBack"])
 	assert.Len(t, e.sent, 20-refusals)
 	assert.GreaterOrEqual(t, refusals, 17)
 }
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -103,7 +103,7 @@
 		zap.String("service", rs.service), zap.String("object", rs.request.Object),
 		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Strings("tried", rs.tried), zap.String("notAgain", string(rs.noRetry)), zap.Float64("load", rs.choice.Load),
-		zap.Int("rank", rs.choice.Rank), zap.String("full", rs.choice.FullWorker), zap.Strings("heldBack", rs.heldBack), zap.Duration("newsAgeMs", rs.updateAge),
+		zap.Int("rank", rs.choice.Rank), zap.String("full", rs.choice.FullWorker), zap.Stringers("heldBack", rs.holds), zap.Duration("newsAgeMs", rs.updateAge),
 		zap.Duration("timeLeftMs", time.Until(rs.deadline)), zap.Bool("warm", rs.choice.Warm),
 		zap.Duration("firstByteMs", rs.last.FirstByte), zap.Duration("workerMs", rs.last.Took),
 		zap.Duration("tookMs", took), zap.Bool("late", late))
@@ -165,15 +165,15 @@
 	Leaving int
 	// OldestUpdate is the largest age of the last update of a usable worker.
 	OldestUpdate time.Duration
-	// Limited counts the workers that name a limit, as far as known.
-	Limited int
+	// Limits are the known limits of workers, in requests per second.
+	Limits map[string]float64
 }
 
 // Status returns a summary of the known state at a time.
 func (s *Service) Status(now time.Time) Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	status := Status{Limited: len(s.Permits.Limits())}
+	status := Status{Limits: s.Permits.Limits()}
 	if s.state.Catalog != nil {
 		status.Version = s.state.Catalog.Version
 	}
--- a/gateway/http.go
+++ b/gateway/http.go
@@ -82,9 +82,12 @@
 		{`wigeonlock_workers_known{state="usable"}`, float64(status.Usable)},
 		{`wigeonlock_workers_known{state="cold"}`, float64(status.Cold)},
 		{`wigeonlock_workers_known{state="leaving"}`, float64(status.Leaving)},
-		{`wigeonlock_workers_known{state="limited"}`, float64(status.Limited)},
+		{`wigeonlock_workers_known{state="limited"}`, float64(len(status.Limits))},
 	}
 	for _, gauge := range gauges {
 		metrics.WriteGaugeFloat64(w, gauge.name, gauge.value)
 	}
+	for id, perSecond := range status.Limits {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("wigeonlock_worker_limit{worker=%q}", id), perSecond)
+	}
 }
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -130,6 +130,7 @@
 			// Each instance is told by its first answer.
 			from := time.Now().Add(500 * time.Millisecond)
 			time.Sleep(6500 * time.Millisecond)
+			assert.Contains(t, instances[3].metrics(t), fmt.Sprintf(`wigeonlock_worker_limit{worker="i-0"} %g`, perSecond))
 			close(stop)
 			statuses := <-done
 			arrivals := arrivalsAfter(workers[0], from)
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -125,7 +125,7 @@
 func (b *Book) endQuestion(now time.Time, h *holding) {
 	_unanswered.Inc()
 	b.missed(now, h.question.to)
-	h.deniedUntil = now.Add(_askTimeout)
+	h.deniedUntil, h.denial = now.Add(_askTimeout), Silent
 	h.release()
 }
 
@@ -144,7 +144,7 @@
 	case !h.limit.Named:
 	case r.Declined:
 		_declined.Inc()
-		h.deniedUntil = now.Add(_askTimeout)
+		h.deniedUntil, h.denial = now.Add(_askTimeout), Declined
 	default:
 		h.share, h.shareAt = min(max(r.Share, _minShare), 1), now
 		for range min(r.Granted, _maxGrant) {
@@ -153,6 +153,7 @@
 		_granted.Add(r.Granted)
 		if r.RetryMs > 0 {
 			_denied.Inc()
+			h.denial = UsedUp
 			h.deniedUntil = now.Add(min(time.Duration(r.RetryMs)*time.Millisecond, _maxDenied))
 		}
 	}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -31,6 +31,7 @@
 package permit
 
 import (
+	"fmt"
 	"math"
 	"sync"
 	"time"
@@ -89,6 +90,32 @@
 	Pending Verdict = "pending"
 )
 
+// Denial is why there is no permit.
+type Denial string
+
+// Reasons for a denial.
+const (
+	// UsedUp means that the issuer had no permit left.
+	UsedUp Denial = "usedUp"
+	// Silent means that the issuer did not answer.
+	Silent Denial = "issuerSilent"
+	// Declined means that the instance that was asked is not the issuer by its own view.
+	Declined Denial = "declined"
+)
+
+// Hold describes why a request was not sent to a worker.
+type Hold struct {
+	Worker    string
+	PerSecond float64
+	Issuer    string
+	Denial    Denial
+}
+
+// String formats a hold for a log line.
+func (h Hold) String() string {
+	return fmt.Sprintf("%s limit=%g issuer=%s %s", h.Worker, h.PerSecond, h.Issuer, h.Denial)
+}
+
 // Limit is what a worker named last, as far as known.
 type Limit struct {
 	PerSecond float64
@@ -138,6 +165,8 @@
 	// permits are the times at which the held permits become invalid, the next first.
 	permits     []time.Time
 	deniedUntil time.Time
+	// denial is why there was no permit last.
+	denial Denial
 	// question is the question that the issuer has not answered yet, or nil; waiting
 	// requests wait for the answer.
 	question *question
@@ -204,7 +233,7 @@
 		if h != nil {
 			h.release()
 		}
-		h = &holding{worker: w, share: 1}
+		h = &holding{worker: w, share: 1, denial: UsedUp}
 		if b.holdings == nil {
 			b.holdings = make(map[string]*holding)
 		}
@@ -265,6 +294,18 @@
 	return shares
 }
 
+// Hold returns why there was no permit for a worker last.
+func (b *Book) Hold(now time.Time, w Worker) Hold {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.holdingOf(w)
+	if h == nil {
+		return Hold{Worker: w.ID, Denial: UsedUp}
+	}
+	issuer, _ := b.issuer(now, w)
+	return Hold{Worker: w.ID, PerSecond: h.limit.PerSecond, Issuer: issuer.Name, Denial: h.denial}
+}
+
 // Limits returns the known limits of workers.
 func (b *Book) Limits() map[string]float64 {
 	b.mu.Lock()
