movefeed's test holds the port itself

The test now holds the port with a socket of its own before the feed starts. What is checked stays: the feed runs and takes moves although another process has its port.

--- a/movefeed/movefeed_test.go
+++ b/movefeed/movefeed_test.go
@@ -119,14 +119,9 @@
 // the moves of others.
 func TestServesWithoutSocket(t *testing.T) {
 	address := freeAddress(t)
-	start(t, address, &moves{})
-	require.Eventually(t, func() bool {
-		conn, err := net.ListenPacket("udp4", address)
-		if err == nil {
-			_ = conn.Close()
-		}
-		return err != nil
-	}, _waitTimeout, time.Millisecond)
+	other, err := net.ListenPacket("udp4", address)
+	require.NoError(t, err)
+	defer func() { _ = other.Close() }()
 	f := New()
 	f.Listen, f.Log = address, zap.NewNop()
 	assert.NoError(t, f.Run(t.Context()))
