An instance that the store turns away follows the next in the order

Cause: instances follow only those before them in the order of readers. When the store turned away 103 of 295 machines, from 2.5 to 11.5 s, the first reader of the region was one of them, and this instance, the second, another: it became the reader, could not read, and followed nobody. The others went on to the third. It learned of versions 6 and 10 at 12.08 s, nine and five seconds late, and of 14, acknowledged at 11.565 s, only at 15.47 s, behind the backlog of all changes.

Why this works: while its reads fail, an instance follows one of the next three after itself, tries to read every 2 s, and serves no followers, so that two instances cannot follow each other. An instance that is followed anew has 400 ms to send, instead of one check of 100 ms.

--- a/changefeed/changefeed.go
+++ b/changefeed/changefeed.go
@@ -108,7 +108,10 @@
 // ResourceExhausted if the neighbour does not keep up.
 func (s *Server) Follow(r *wire.FollowRequest, stream wire.News_FollowServer) error {
 	missed, batches, end, err := s.Source.Subscribe(store.Revision(r.GetAfter()))
-	if err != nil {
+	switch {
+	case errors.Is(err, watch.ErrRefused):
+		return status.Error(codes.Unavailable, err.Error())
+	case err != nil:
 		return status.Error(codes.OutOfRange, err.Error())
 	}
 	defer end()
--- a/watch/cache.go
+++ b/watch/cache.go
@@ -37,6 +37,9 @@
 // the bytes.
 var ErrBehind = errors.New("last read is older than the known changes")
 
+// ErrRefused is returned to a subscriber while the store turns the instance away.
+var ErrRefused = errors.New("the store turns this instance away")
+
 // Cache holds the keys under the prefix as last read, by any instance. Changes
 // are ordered by the revision of their key, not by their arrival. It is not safe
 // for concurrent use.
--- a/watch/reader.go
+++ b/watch/reader.go
@@ -7,8 +7,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// _excludeTime is how long a neighbour that stopped sending is not followed.
-const _excludeTime = 8 * time.Second
+const (
+	// _excludeTime is how long a neighbour that stopped sending is not followed.
+	_excludeTime = 8 * time.Second
+	// _maxStandIns is the number of neighbours, after the instance itself in the order,
+	// that it follows in turn while the store turns it away. In an outage of the store,
+	// none of them has news.
+	_maxStandIns = 3
+)
 
 // Neighbour is an instance of the region that can forward what it reads from the
 // store.
@@ -24,8 +30,10 @@
 // excluded, by capacity and then by the hash of the names, an order that all instances
 // share. It is not safe for concurrent use.
 type ReaderSelector struct {
-	// Self is the name of the instance itself.
-	Self string
+	// Self is the name of the instance itself. Refused is set while the store turns it
+	// away.
+	Self    string
+	Refused bool
 
 	excludedUntil map[string]time.Time
 }
@@ -53,10 +61,23 @@
 		}
 		return rank(sorted[i].Name) < rank(sorted[j].Name)
 	})
-	for _, n := range sorted {
+	for i, n := range sorted {
 		if n.Name == s.Self {
-			return Neighbour{}, false
+			if !s.Refused {
+				return Neighbour{}, false
+			}
+			after := sorted[i+1:]
+			return s.firstIncluded(now, after[:min(len(after), _maxStandIns)])
+		}
+		if now.After(s.excludedUntil[n.Name]) {
+			return n, true
 		}
+	}
+	return Neighbour{}, false
+}
+
+func (s *ReaderSelector) firstIncluded(now time.Time, neighbours []Neighbour) (Neighbour, bool) {
+	for _, n := range neighbours {
 		if now.After(s.excludedUntil[n.Name]) {
 			return n, true
 		}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -56,6 +56,11 @@
 	// _maxReadAge is the age of the last read from which an instance reads the
 	// store itself. A change has to be active within two and a half seconds.
 	_maxReadAge = 1300 * time.Millisecond
+	// _followTime is the time in which a neighbour that is followed must send what it
+	// has read.
+	_followTime = 400 * time.Millisecond
+	// _refusedInterval is how often an instance that the store turns away tries to read.
+	_refusedInterval = 2 * time.Second
 	// _checkInterval is the time between checks of the age of the last read.
 	_checkInterval = 100 * time.Millisecond
 	// _subscriberQueue is the number of batches queued for one subscriber.
@@ -125,8 +130,11 @@
 	failingSince time.Time
 	// recoveredAt is the time at which the last outage of the store ended.
 	recoveredAt time.Time
-	reader      Neighbour
-	stopFollow  context.CancelFunc
+	// reader is the neighbour that is followed since followedAt; none if its name is
+	// empty.
+	reader     Neighbour
+	followedAt time.Time
+	stopFollow context.CancelFunc
 }
 
 var (
@@ -178,7 +186,13 @@
 		return true
 	}
 	w.mu.Lock()
-	if w.reader.Name != "" && w.outdated(now) {
+	switch {
+	case !w.outdated(now):
+	case w.reader.Name == "" && w.failures > 0:
+		// The store turns this instance away, and may serve others.
+		w.selector.Refused = true
+		w.closeSubscribers()
+	case w.reader.Name != "" && now.Sub(w.followedAt) >= _followTime:
 		w.selector.Exclude(now, w.reader.Name)
 	}
 	reader, found := w.selector.Reader(now, w.Neighbours())
@@ -190,7 +204,7 @@
 		w.stopFollow()
 		w.stopFollow = nil
 	}
-	w.reader = reader
+	w.reader, w.followedAt = reader, now
 	_readerChanges.Inc()
 	if !found {
 		w.Log.Info("reading the store on behalf of the neighbours")
@@ -273,7 +287,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return isReader || w.outdated(now)
+	return isReader || w.outdated(now) || w.selector.Refused && now.Sub(w.lastAttempt) >= _refusedInterval
 }
 
 // poll reads the store once and applies what it read.
@@ -300,6 +314,9 @@
 		w.recoveredAt = now
 	}
 	w.failures = 0
+	w.mu.Lock()
+	w.selector.Refused = false
+	w.mu.Unlock()
 	b.At = started
 	tentativeUntil := w.tentativeUntil(now)
 	for i := range b.Changes {
@@ -364,6 +381,11 @@
 		}
 	}
 	w.Sink.Done(now, b.Revision)
+	w.forward(forwarded)
+}
+
+// forward sends a batch to the subscribers. The caller holds mu.
+func (w *Watcher) forward(forwarded Batch) {
 	for subscriber := range w.subscribers {
 		select {
 		case subscriber <- forwarded:
@@ -394,13 +416,26 @@
 	return needed
 }
 
+// closeSubscribers ends all subscriptions. The caller holds mu.
+func (w *Watcher) closeSubscribers() {
+	for subscriber := range w.subscribers {
+		delete(w.subscribers, subscriber)
+		close(subscriber)
+	}
+}
+
 // Subscribe returns the changes since a revision and a channel of the batches
-// read from then on. The channel is closed when the subscriber does not keep up;
-// the caller calls end to unsubscribe. It returns ErrBehind if not all changes
-// since the revision are known.
+// read from then on. The channel is closed when the subscriber does not keep up, or
+// the store turns this instance away; the caller calls end to unsubscribe. It returns
+// ErrBehind if not all changes since the revision are known, and ErrRefused if the store
+// turns this instance away: it then follows an instance that comes after it in the order,
+// which in turn must not follow this one.
 func (w *Watcher) Subscribe(after store.Revision) (missed Batch, batches <-chan Batch, end func(), err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.selector.Refused {
+		return Batch{}, nil, nil, ErrRefused
+	}
 	missed, err = w.cache.Since(after)
 	if err != nil {
 		return Batch{}, nil, nil, err
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -359,6 +360,9 @@
 	source := p.watchers[n.Name]
 	p.follows++
 	p.mu.Unlock()
+	if source == nil {
+		return errors.New("nobody listens at " + n.Address)
+	}
 	missed, batches, end, err := source.Subscribe(after)
 	if err != nil {
 		return err
@@ -438,6 +442,66 @@
 	require.Eventually(t, everywhere("c"), _waitTimeout, _pollInterval, "the others receive the change without the reader")
 }
 
+// refusedFeed is the store as an instance sees it that the store may turn away.
+type refusedFeed struct {
+	*feed
+	refused atomic.Bool
+}
+
+func (f *refusedFeed) Range(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
+	if f.refused.Load() {
+		return nil, 0, store.ErrThrottled
+	}
+	return f.feed.Range(ctx, prefix)
+}
+
+func (f *refusedFeed) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
+	if f.refused.Load() {
+		return nil, 0, store.ErrThrottled
+	}
+	return f.feed.Changes(ctx, prefix, after, wait)
+}
+
+// TestRefusedReadersFollowTheNext has the store turn away the first two instances in the
+// order of readers, while it serves the third: they must hear of changes from that one.
+func TestRefusedReadersFollowTheNext(t *testing.T) {
+	f := &feed{}
+	f.write("a", false)
+	all := []watch.Neighbour{{Name: "n1", Capacity: 4}, {Name: "n2", Capacity: 3}, {Name: "n3", Capacity: 2}, {Name: "n4", Capacity: 1}}
+	p := &peers{watchers: map[string]*watch.Watcher{}, silent: map[string]bool{}}
+	sinks, feeds := map[string]*sink{}, map[string]*refusedFeed{}
+	for _, n := range all {
+		sinks[n.Name], feeds[n.Name] = newSink(), &refusedFeed{feed: f}
+		p.watchers[n.Name] = &watch.Watcher{
+			Feed: feeds[n.Name], Sink: sinks[n.Name], Interval: 100 * time.Millisecond, Instance: n.Name, Peers: p,
+			Neighbours: func() []watch.Neighbour { return all },
+		}
+	}
+	for _, n := range all {
+		run(t, p.watchers[n.Name])
+	}
+	everywhere := func(key string) func() bool {
+		return func() bool {
+			for _, s := range sinks {
+				if !s.has(key) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, everywhere("a"), _waitTimeout, _pollInterval)
+	feeds["n1"].refused.Store(true)
+	feeds["n2"].refused.Store(true)
+	time.Sleep(4 * time.Second)
+	for n := range 8 {
+		key := fmt.Sprint("b", n)
+		f.write(key, false)
+		require.Eventually(t, everywhere(key), 2500*time.Millisecond, _pollInterval, "change %d", n)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 // TestSnapshotMayTakeLongerThanCall reads a snapshot whose pages together take
 // longer than the timeout of one call, as with many keys, a slow store, or
 // hundreds of instances that start at once.
