A disconnect is noticed after the last request of a connection, too

Cause: when no further request is accepted on a connection, since the last one said Connection: close or the instance shuts down, nothing read the connection any more, so that the caller's disconnect did not cancel the request.

Why this works: until the requests are answered, the connection is read, and what arrives is dropped; its end cancels them.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -21,6 +21,8 @@
 
 const (
 	_readBuffer = 4 << 10 // bytes
+	// _dropBytes is the size of the reads, in bytes, while no request is accepted any more.
+	_dropBytes = 512
 	// _unlimited is a number of bytes that no request reaches.
 	_unlimited = 1 << 62
 )
@@ -156,11 +158,45 @@
 		_disconnects.Inc()
 		c.cancel()
 	}
-	<-previous
+	c.awaitAnswers(previous)
 	c.cancel()
 	c.linger()
 }
 
+// awaitAnswers waits until the requests that were read are answered. If the caller disconnects
+// before, they are cancelled. What it sends meanwhile is dropped: no further request is
+// accepted on the connection.
+func (c *conn) awaitAnswers(answered <-chan struct{}) {
+	select {
+	case <-answered:
+		return
+	default:
+	}
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		if c.ctx.Err() == nil && c.awaitDisconnect() {
+			_disconnects.Inc()
+			c.cancel()
+		}
+	}()
+	<-answered
+	c.stopReading()
+	<-watched
+}
+
+// awaitDisconnect reads until the caller disconnects, and reports false if reading is stopped
+// before.
+func (c *conn) awaitDisconnect() bool {
+	c.setReadDeadline(time.Time{})
+	dropped := make([]byte, _dropBytes)
+	for {
+		if _, err := c.Conn.Read(dropped); err != nil {
+			return !c.isTimeout(err)
+		}
+	}
+}
+
 func (c *conn) isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -173,6 +173,39 @@
 	require.Eventually(t, func() bool { _, cancelled := h.requests(); return len(cancelled) == 2 }, 5*time.Second, time.Millisecond)
 }
 
+// TestDisconnectIsNoticedAfterLastRequest has a caller disconnect while its request runs on a
+// connection from which no further one is read: the request asked for that, or the instance
+// shuts down.
+func TestDisconnectIsNoticedAfterLastRequest(t *testing.T) {
+	for name, tt := range map[string]struct {
+		request  string
+		shutdown bool
+	}{
+		"last request": {strings.Replace(get("/1"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), false},
+		"shutdown":     {get("/1"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &handler{release: map[string]chan struct{}{"/1": make(chan struct{})}}
+			s, address := start(t, h, _limits)
+			c, _ := dial(t, address)
+			_, err := io.WriteString(c, tt.request)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { started, _ := h.requests(); return len(started) == 1 }, 5*time.Second, time.Millisecond)
+			if tt.shutdown {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go s.Shutdown(ctx)
+				// Nothing is read as a request any more.
+				time.Sleep(300 * time.Millisecond)
+			}
+			_, cancelled := h.requests()
+			require.Empty(t, cancelled)
+			require.NoError(t, c.Close())
+			require.Eventually(t, func() bool { _, cancelled := h.requests(); return len(cancelled) == 1 }, 2*time.Second, time.Millisecond)
+		})
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	tests := map[string]struct {
 		request string
