--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -191,7 +191,7 @@
 	c.setReadDeadline(time.Time{})
 	dropped := make([]byte, _dropBytes)
 	for {
-		if _, err := c.Conn.Read(dropped); err != nil {
+		if _, err := c.Read(dropped); err != nil {
 			return !c.isTimeout(err)
 		}
 	}
