--- a/gateway/reload_test.go
+++ b/gateway/reload_test.go
@@ -22,7 +22,7 @@
 func TestReload(t *testing.T) {
 	const good = `{"instance":"e","region":"r","zone":"a","zones":[{"name":"a","region":"r"}],
 "callers":{"listen":"127.0.0.1:1"},"readiness":{"listen":"127.0.0.1:2"},"directory":{"listen":"127.0.0.1:3"},
-"peers":{"listen":"127.0.0.1:4"},"store":{"address":"127.0.0.1:5"}}`
+"peers":{"listen":"127.0.0.1:4"},"permits":{"listen":"127.0.0.1:6"},"store":{"address":"127.0.0.1:5"}}`
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	require.NoError(t, os.WriteFile(file, []byte(good), 0o600))
 	s, err := gateway.Load(file)
--- a/watch/start_test.go
+++ b/watch/start_test.go
@@ -60,7 +60,9 @@
 					return watch.Start{Candidates: all[:1], Patient: true}, nil
 				},
 			}
+			p.mu.Lock()
 			p.watchers["n2"] = started
+			p.mu.Unlock()
 			reads := make(chan int, 1)
 			s.onDone = func() {
 				select {
