Permits: the mean demand counts each request once; a planned stop and moves tested

The mean demand of an instance was updated twice for the same requests when permits were asked for in advance; it is updated once now, with each question. New tests: the issuer's planned stop, and a move to a worker for which there is no permit.

--- a/permit/fault_test.go
+++ b/permit/fault_test.go
@@ -60,6 +60,21 @@
 	})
 }
 
+// TestIssuerStops stops the issuer as planned: it leaves the list at once and still answers
+// for a while.
+func TestIssuerStops(t *testing.T) {
+	forSizes(t, func(t *testing.T, n int, perSecond float64) {
+		m := limited(21, n, perSecond)
+		stopped, from := m.issuerOf(m.nodes[0]), m.now
+		m.listed = func(_, other *node) bool { return other != stopped }
+		m.play(3 * time.Second)
+		stopped.down = true
+		m.play(10 * time.Second)
+		assert.LessOrEqual(t, float64(m.most(from)), m.allowed())
+		assert.GreaterOrEqual(t, m.perSecondSince(from), perSecond/2)
+	})
+}
+
 // TestStandInServesWhileTheListIsOld kills the issuer during an outage of the store, which
 // goes on naming it: the worker is still used, at half its limit.
 func TestStandInServesWhileTheListIsOld(t *testing.T) {
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -40,7 +40,7 @@
 		return Denied, nil
 	}
 	if h.question == nil {
-		b.ask(now, h, 1+h.ahead(now))
+		b.ask(now, h, 1+h.ahead())
 	}
 	if h.question == nil {
 		if !h.limit.Named || h.use(now) {
@@ -79,11 +79,11 @@
 }
 
 // ahead returns the number of permits to ask for in advance.
-func (h *holding) ahead(now time.Time) int {
-	h.updateRate(now)
+func (h *holding) ahead() int {
 	return int(h.rate * _aheadTime.Seconds())
 }
 
+// updateRate updates the mean demand by the requests since the last question.
 func (h *holding) updateRate(now time.Time) {
 	elapsed := now.Sub(h.askedAt).Seconds()
 	if elapsed <= 0 {
@@ -96,10 +96,7 @@
 // askAhead asks for further permits if the held ones are used up and the demand will need
 // more within _aheadTime.
 func (b *Book) askAhead(now time.Time, h *holding) {
-	if len(h.permits) > 0 || h.question != nil || now.Before(h.deniedUntil) || h.rate*_aheadTime.Seconds() < 1 {
-		return
-	}
-	if n := h.ahead(now); n > 0 {
+	if n := h.ahead(); n > 0 && len(h.permits) == 0 && h.question == nil && !now.Before(h.deniedUntil) {
 		b.ask(now, h, n)
 	}
 }
--- a/placement/limited_test.go
+++ b/placement/limited_test.go
@@ -96,6 +96,30 @@
 	}
 }
 
+// TestMoveNeedsPermit has an object leave a full worker while the worker that would take it
+// has no permit: the request is not sent there, and the object does not move.
+func TestMoveNeedsPermit(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 2}, 4)
+	r := requestFor("x")
+	r.Sticky = false
+	p := newPlacer()
+	first := p.Choose(_start, r, workers).Worker
+	for range 9 {
+		p.Begin(_start, requestFor("other"), first)
+	}
+	moved := 0
+	p.Moved = func(Move) { moved++ }
+	var asked []string
+	r.Permit = func(w *worker.Worker, _ bool) Permission {
+		asked = append(asked, w.ID)
+		return Denied
+	}
+	assert.Nil(t, p.Choose(_start, r, workers).Worker)
+	require.Len(t, asked, 1)
+	assert.NotEqual(t, first.ID, asked[0])
+	assert.Zero(t, moved)
+}
+
 // TestPendingPermit has the permit for the place of an object be pending: no other worker is
 // chosen meanwhile, and the request is counted once.
 func TestPendingPermit(t *testing.T) {
