An instance that cannot listen ends with the error

What operators would see: a process that cannot open one of its listeners, since another process has the port, stays alive, is not ready, and does not end at SIGTERM.

Cause: the listener for callers served already when a later one failed; the kernel then waits for it, and nothing closes it, as Stop is not called for a service that did not start.

The ports that the tests had found free were taken by connections meanwhile.

Why this works: all listeners are opened before anything runs, and closed again if one fails. The tests give each instance a loopback address of its own.

Measured: gateway.TestStartFailsWhenPortIsInUse fails without the change ("neither serves nor ends") and passes with it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,56 +154,60 @@
 // Name returns the name of the service.
 func (r *runner) Name() string { return "site" }
 
-// Start opens the listeners and starts watching the store.
+// Start opens the listeners and starts watching the store. Nothing runs yet if a listener
+// cannot be opened: the process then ends with the error.
 func (r *runner) Start(_ context.Context, k *kernel.Kernel) error {
 	g := r.gateway
-	callers, err := net.Listen("tcp", g.Settings.Callers.Listen)
+	listeners, err := listen(
+		g.Settings.Callers.Listen, g.Settings.Peers.Listen, g.Settings.Readiness.Listen, g.Settings.Directory.Listen,
+	)
 	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	peers, err := net.Listen("tcp", g.Settings.Peers.Listen)
-	if err != nil {
-		return errors.Wrap(err, "listen for neighbours")
+		return err
 	}
 	k.Go("news", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, g.changefeed.Close)
 		defer stop()
-		return g.changefeed.Serve(peers)
+		return g.changefeed.Serve(listeners[1])
 	})
 	k.Go("moves", g.movefeed.Run)
 	k.Go("permits", g.permitfeed.Run)
-	k.Go("front", func(context.Context) error { return g.frontend.Serve(callers) })
+	k.Go("front", func(context.Context) error { return g.frontend.Serve(listeners[0]) })
 	k.Go("follow", g.watcher.Run)
 	k.Go("presence", g.registration.run)
 	k.Go("sweep", func(ctx context.Context) error { return kernel.Every(ctx, _sweepInterval, g.sweep) })
-	servers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{g.Settings.Readiness.Listen, g.readiness()},
-		{g.Settings.Directory.Listen, g.resolver()},
-	}
-	for _, s := range servers {
-		if err := serve(k, s.address, s.handler); err != nil {
-			return err
-		}
-	}
+	serve(k, listeners[2], g.readiness())
+	serve(k, listeners[3], g.resolver())
 	if address := g.Settings.Admin.Listen; address != "" {
 		// The port of the metrics is fixed, while the other ports are assigned, so
 		// another process may be using it. The instance then runs without metrics.
-		if err := serve(k, address, g.admin()); err != nil {
+		admin, err := listen(address)
+		if err != nil {
 			g.Log.Warn("metrics are not served", zap.Error(err))
+			return nil
 		}
+		serve(k, admin[0], g.admin())
 	}
 	return nil
 }
 
-// serve serves HTTP on an address until the kernel stops.
-func serve(k *kernel.Kernel, address string, handler http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+// listen listens on all addresses, or on none if one of them fails.
+func listen(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners = append(listeners, l)
 	}
+	return listeners, nil
+}
+
+// serve serves HTTP on a listener until the kernel stops.
+func serve(k *kernel.Kernel, l net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout}
 	k.Go("http", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -213,7 +217,6 @@
 		}
 		return nil
 	})
-	return nil
 }
 
 // Stop shuts the instance down gracefully: it ends the registration and makes
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +94,15 @@
 	done     chan error
 }
 
+var _hosts atomic.Int32
+
+// loopbackHost returns a loopback address that no other instance of the test processes has. On
+// 127.0.0.1, a port that was found free may be taken by a connection before it is used.
+func loopbackHost() string {
+	n := _hosts.Add(1)
+	return fmt.Sprintf("127.16.%d.%d", 1+os.Getpid()%250, n)
+}
+
 func startInstance(t *testing.T, kv *standin.KV, name, zone string) *instance {
 	t.Helper()
 	return startInstanceWith(t, kv, name, zone, func(*gateway.Settings) {})
@@ -99,10 +110,11 @@
 
 func startInstanceWith(t *testing.T, kv *standin.KV, name, zone string, change func(*gateway.Settings)) *instance {
 	t.Helper()
+	host := loopbackHost()
+	port := 8640
 	address := func() settings.Listener {
-		a, err := standin.LoopbackAddress()
-		require.NoError(t, err)
-		return settings.Listener{Listen: a}
+		port++
+		return settings.Listener{Listen: fmt.Sprintf("%s:%d", host, port)}
 	}
 	s := gateway.Default()
 	s.Instance, s.Region, s.Zone = name, "r", zone
@@ -396,3 +408,22 @@
 	i := startInstanceWith(t, kv, "edge-1", "a", func(s *gateway.Settings) { s.Admin.Listen = listener.Addr().String() })
 	require.Eventually(t, i.answered("/r/x", http.StatusOK, "i-1"), _waitTimeout, _pollInterval)
 }
+
+// TestStartFailsWhenPortIsInUse has another process use the port of the directory: the
+// process must end with the error, not stay without serving.
+func TestStartFailsWhenPortIsInUse(t *testing.T) {
+	kv := standin.NewKV()
+	defer kv.Close()
+	listener, err := net.Listen("tcp", loopbackHost()+":0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	i := startInstanceWith(t, kv, "edge-1", "a", func(s *gateway.Settings) { s.Directory.Listen = listener.Addr().String() })
+	select {
+	case err := <-i.done:
+		assert.ErrorContains(t, err, "address already in use")
+	case <-time.After(_waitTimeout):
+		t.Error("the instance neither serves nor ends")
+	}
+	i.cancel()
+	i.cancel = nil
+}
