--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -82,7 +82,7 @@
 func unreachable() []fault.Event {
 	events := workerFaults("refusing", 0)
 	for i := range events {
-		events[i].Kind, events[i].Duration = fault.WorkerLink, 2*time.Second
+		events[i].Kind, events[i].Duration = fault.WorkerLink, 10*time.Second
 	}
 	return events
 }
