--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -53,17 +53,27 @@
 // used all the same.
 func TestOverloadWaitsLittle(t *testing.T) {
 	for _, perSecond := range []float64{4, 20} {
-		m := newModel(4, 9, 9, 6*perSecond, perSecond)
-		m.keepsAll, m.named = true, true
-		m.play(30 * time.Second)
-		turned, waited := 0, 0
-		for _, n := range m.nodes {
-			turned += n.turned
-			waited += n.waited
-		}
-		assert.Less(t, float64(waited-len(m.arrivals)), 0.35*float64(turned), "%g a second", perSecond)
-		assert.GreaterOrEqual(t, m.perSecondSince(_epoch.Add(10*time.Second)), 0.75*perSecond)
+		checkOverloadWaits(t, perSecond)
+	}
+}
+
+// TestOverloadWaitsLittleAtLowLimit is the same with a limit of one request a second.
+func TestOverloadWaitsLittleAtLowLimit(t *testing.T) {
+	checkOverloadWaits(t, 1)
+}
+
+func checkOverloadWaits(t *testing.T, perSecond float64) {
+	t.Helper()
+	m := newModel(4, 9, 9, 6*perSecond, perSecond)
+	m.keepsAll, m.named = true, true
+	m.play(30 * time.Second)
+	turned, waited := 0, 0
+	for _, n := range m.nodes {
+		turned += n.turned
+		waited += n.waited
 	}
+	assert.Less(t, float64(waited-len(m.arrivals)), 0.35*float64(turned), "%g a second", perSecond)
+	assert.GreaterOrEqual(t, m.perSecondSince(_epoch.Add(10*time.Second)), 0.75*perSecond)
 }
 
 // TestLooseLimitIsNoHindrance has a worker name a limit above its demand: nothing is turned
