Logs and metrics tell that the store was restored; the stand-in restores

The store names its era in all answers. Each instance logs the first answer of a new era and counts it; a batch whose changes are dropped as outdated is logged with both revisions. The stand-in of the store can be restored from a copy of some seconds before, and names its era.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	g := &Gateway{Settings: s, Log: log.With(zap.String("instance", s.Instance)), startedAt: time.Now()}
 	g.configuredAt = g.startedAt
 	g.client = platform.NewClient(s.Store.Address)
+	g.client.Restored = g.storeRestored
 	g.pool = &exchange.Pool{HeaderNames: platform.WorkerHeaders(), BodyBudget: int64(float64(s.MemoryMb) * _bodyShare * (1 << 20))}
 	zones := make(map[string]string, len(s.Zones))
 	for _, z := range s.Zones {
@@ -451,6 +452,14 @@
 	}
 }
 
+// storeRestored logs and counts that the store was restored, as soon as any of its answers
+// shows it.
+func (g *Gateway) storeRestored(from, to store.Era) {
+	_restores.Inc()
+	_era.Set(float64(to))
+	g.Log.Warn("store was restored from a copy", zap.Uint32("era", uint32(to)), zap.Uint32("previousEra", uint32(from)))
+}
+
 // ReadFailed records that the store could not be read, and logs the start of an
 // outage.
 func (g *Gateway) ReadFailed(_ time.Time, err error) {
@@ -463,4 +472,8 @@
 	}
 }
 
-var _undecodable = metrics.NewCounter("wigeonlock_unreadable_entries_total")
+var (
+	_undecodable = metrics.NewCounter("wigeonlock_unreadable_entries_total")
+	_restores    = metrics.NewCounter("wigeonlock_store_restores_total")
+	_era         = metrics.NewGauge("wigeonlock_store_era", nil)
+)
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -37,6 +39,21 @@
 	pageKeys int
 	// compacted is the revision up to which the history was compacted.
 	compacted uint64
+	// era counts the restores, and copies holds the data as of each of the latest writes.
+	era    uint64
+	copies []kvCopy
+}
+
+// kvCopy is the data of a store as of a time.
+type kvCopy struct {
+	at        time.Time
+	items     map[string]kvItem
+	history   []kvItem
+	leases    map[uint64]time.Time
+	ttls      map[uint64]time.Duration
+	revision  uint64
+	lastLease uint64
+	compacted uint64
 }
 
 type kvItem struct {
@@ -74,12 +91,16 @@
 	_kvLateWriteDelay = time.Second
 	// _kvPageKeys is the number of keys in a page, small so that tests read several.
 	_kvPageKeys = 3
+	// _kvCopiedTime is how far back the store can be restored.
+	_kvCopiedTime = 30 * time.Second
+	// EraHeader is the header of all answers with the number of restores, from 1.
+	EraHeader = "Store-Era"
 )
 
 // NewKV returns a store that serves on a loopback address.
 func NewKV() *KV {
 	kv := &KV{
-		items: map[string]kvItem{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, revision: 1, lastLease: 1,
+		items: map[string]kvItem{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, revision: 1, lastLease: 1, era: 1,
 		pageKeys: _kvPageKeys, modeChanged: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -97,6 +118,7 @@
 func (kv *KV) injectFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		kv.mu.Lock()
+		w.Header().Set(EraHeader, strconv.FormatUint(kv.era, 10))
 		kv.calls++
 		mode, modeChanged := kv.mode, kv.modeChanged
 		if kv.refuseIn > 0 {
@@ -140,7 +162,53 @@
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.expire()
+	w.Header().Set(EraHeader, strconv.FormatUint(kv.era, 10))
 	next.ServeHTTP(w, r)
+	kv.copy()
+}
+
+// copy records a copy of the data unless nothing was written since the last one. The
+// caller holds mu.
+func (kv *KV) copy() {
+	if n := len(kv.copies); n > 0 && kv.copies[n-1].revision == kv.revision && kv.copies[n-1].lastLease == kv.lastLease {
+		return
+	}
+	now := time.Now()
+	kept := 0
+	for kept+1 < len(kv.copies) && now.Sub(kv.copies[kept+1].at) > _kvCopiedTime {
+		kept++
+	}
+	kv.copies = append(kv.copies[kept:], kvCopy{
+		at: now, items: maps.Clone(kv.items), history: slices.Clone(kv.history), leases: maps.Clone(kv.leases),
+		ttls: maps.Clone(kv.ttls), revision: kv.revision, lastLease: kv.lastLease, compacted: kv.compacted,
+	})
+}
+
+// Restore replaces the data by a copy of a time before, and begins the next era. Revisions
+// and the numbers of leases written since are given out again. The leases in the copy run
+// anew.
+func (kv *KV) Restore(age time.Duration) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	now := time.Now()
+	from := kvCopy{revision: 1, lastLease: 1}
+	last := 0
+	for i, c := range kv.copies {
+		if now.Sub(c.at) < age {
+			break
+		}
+		from, last = c, i
+	}
+	kv.copies = kv.copies[:min(last+1, len(kv.copies))]
+	kv.items, kv.leases, kv.ttls = map[string]kvItem{}, map[uint64]time.Time{}, map[uint64]time.Duration{}
+	maps.Copy(kv.items, from.items)
+	maps.Copy(kv.ttls, from.ttls)
+	for id := range from.leases {
+		kv.leases[id] = now.Add(from.ttls[id])
+	}
+	kv.history = slices.Clone(from.history)
+	kv.revision, kv.lastLease, kv.compacted = from.revision, from.lastLease, from.compacted
+	kv.era++
 }
 
 // Address returns the address that the store listens on.
@@ -182,6 +250,7 @@
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.put(key, []byte(value), 0)
+	kv.copy()
 }
 
 // Delete removes a key.
@@ -189,6 +258,7 @@
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.remove(key)
+	kv.copy()
 }
 
 // Compact drops the history: a watch from an earlier revision is answered 410.
@@ -282,7 +352,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if after < kv.compacted {
+	if after < kv.compacted || after > kv.revision {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
--- a/store/feed.go
+++ b/store/feed.go
@@ -16,6 +16,10 @@
 	ErrThrottled = errors.New("store throttles calls")
 )
 
+// Era counts how often the store was restored from an earlier copy of its data. It is
+// zero if the store names none.
+type Era uint32
+
 // Revision counts the changes of the whole store.
 type Revision uint64
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -371,7 +371,12 @@
 func (w *Watcher) apply(now time.Time, b Batch, tentativeUntil time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	known := w.cache.Revision()
 	changes := w.cache.Apply(b, tentativeUntil)
+	if outdated := len(b.Changes) - len(changes); outdated > 0 && b.Revision <= known {
+		w.Log.Debug("changes were older than the known ones", zap.Int("changes", outdated),
+			zap.Uint64("revision", uint64(b.Revision)), zap.Uint64("knownRevision", uint64(known)))
+	}
 	forwarded := Batch{Revision: b.Revision, At: b.At}
 	for _, c := range changes {
 		_changes.Inc()
