Revisions are ordered by the era of the store

What callers saw: after the store was restored from a copy, a configuration that had been acknowledged never took effect: 404 for its routes, old routes served, requests in regions that it excludes.

Cause: a restored store gives out revisions again. The cache of the watch, which orders changes by revision, took later writes for older ones. Its own revision never went down, so each watch was answered 410 and all instances read the whole store every 0.9 s until the store had passed that revision.

Change: the adapter reads the era that the store names in each answer. A revision holds its era, and later eras are higher. Values of different eras are ordered by what their writers say of them (the version of a configuration, start and sequence of a worker, registrations of an instance), so that a restored store undoes nothing that is known to be newer; that is retained and passed on to neighbours until it is written again. Only the reader of a region reads the restored store whole, the others get the differences from it. Leases do not outlive the era in which they were granted, and an instance that stops deletes its key by name. Answers of an earlier era are rejected; neighbours that are still in it, or whose build names none, no longer count as having read the store.

--- a/changefeed/changefeed.go
+++ b/changefeed/changefeed.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonlock/wigeonlock/changefeed/wire"
 	"github.com/wigeonlock/wigeonlock/store"
@@ -57,6 +58,8 @@
 	// The caller calls end to unsubscribe. It returns watch.ErrBehind if not all
 	// changes since the revision are known.
 	Subscribe(after store.Revision) (missed watch.Batch, batches <-chan watch.Batch, end func(), err error)
+	// Revision returns the revision up to which the store was read.
+	Revision() store.Revision
 }
 
 // Server streams the batches of Source to neighbours. Source is set before Serve.
@@ -107,7 +110,7 @@
 // the store. It fails with OutOfRange if those changes are not all known and with
 // ResourceExhausted if the neighbour does not keep up.
 func (s *Server) Follow(r *wire.FollowRequest, stream wire.News_FollowServer) error {
-	missed, batches, end, err := s.Source.Subscribe(store.Revision(r.GetAfter()))
+	missed, batches, end, err := s.Source.Subscribe(s.after(r))
 	switch {
 	case errors.Is(err, watch.ErrRefused):
 		return status.Error(codes.Unavailable, err.Error())
@@ -133,6 +136,19 @@
 	}
 }
 
+// after returns the revision up to which a neighbour has read. One that names no era does
+// not know of any, and counts as up to date with the current one.
+func (s *Server) after(r *wire.FollowRequest) store.Revision {
+	era := s.Source.Revision().Era()
+	if r.Era != nil {
+		era = store.Era(r.GetEra())
+	}
+	if r.GetAfter() == 0 {
+		return 0
+	}
+	return store.RevisionOf(era, r.GetAfter())
+}
+
 // send sends a batch that all neighbours get. It is encoded once for all streams,
 // and again for a stream that lags by more than _encodedTTL, because ages are as
 // of the encoding.
@@ -184,7 +200,9 @@
 		return errors.Wrap(err, "connect")
 	}
 	defer func() { _ = conn.Close() }()
-	stream, err := wire.NewNewsClient(conn).Follow(ctx, &wire.FollowRequest{Instance: c.Instance, After: uint64(after)})
+	stream, err := wire.NewNewsClient(conn).Follow(ctx, &wire.FollowRequest{
+		Instance: c.Instance, After: after.Number(), Era: proto.Uint32(uint32(after.Era())),
+	})
 	if err != nil {
 		return errors.Wrap(err, "follow")
 	}
@@ -203,13 +221,19 @@
 func encode(b watch.Batch) *wire.Batch {
 	now := time.Now()
 	w := &wire.Batch{
-		Whole: b.Full, Revision: uint64(b.Revision), AgeMs: math.MaxInt32, Changes: make([]*wire.Change, 0, len(b.Changes)),
+		Whole: b.Full, Revision: b.Revision.Number(), Era: uint32(b.Revision.Era()), AgeMs: math.MaxInt32, Changes: make([]*wire.Change, 0, len(b.Changes)),
 	}
 	if !b.At.IsZero() {
 		w.AgeMs = now.Sub(b.At).Milliseconds()
 	}
 	for _, c := range b.Changes {
-		change := &wire.Change{Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Deleted: c.Deleted}
+		change := &wire.Change{
+			Key: c.Key, Value: c.Value, Revision: c.Revision.Number(), Deleted: c.Deleted, Retained: c.Retained,
+			Written: c.Written.Number(), WrittenEra: uint32(c.Written.Era()),
+		}
+		if era := c.Revision.Era(); era != b.Revision.Era() {
+			change.Era = proto.Uint32(uint32(era))
+		}
 		if !c.TentativeUntil.IsZero() {
 			change.LapseMs = max(c.TentativeUntil.Sub(now).Milliseconds(), 1)
 		}
@@ -220,14 +244,21 @@
 
 func decode(now time.Time, w *wire.Batch) watch.Batch {
 	b := watch.Batch{
-		Full: w.GetWhole(), Revision: store.Revision(w.GetRevision()),
+		Full: w.GetWhole(), Revision: store.RevisionOf(store.Era(w.GetEra()), w.GetRevision()),
 		At: now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond), Changes: make([]watch.Change, 0, len(w.GetChanges())),
 	}
 	for _, c := range w.GetChanges() {
-		change := watch.Change{Change: store.Change{
-			Item:    store.Item{Key: c.GetKey(), Value: c.GetValue(), Revision: store.Revision(c.GetRevision())},
-			Deleted: c.GetDeleted(),
-		}}
+		era := w.GetEra()
+		if c != nil && c.Era != nil {
+			era = c.GetEra()
+		}
+		change := watch.Change{
+			Change: store.Change{
+				Item:    store.Item{Key: c.GetKey(), Value: c.GetValue(), Revision: store.RevisionOf(store.Era(era), c.GetRevision())},
+				Deleted: c.GetDeleted(),
+			},
+			Written: store.RevisionOf(store.Era(c.GetWrittenEra()), c.GetWritten()), Retained: c.GetRetained(),
+		}
 		if c.GetLapseMs() > 0 {
 			change.TentativeUntil = now.Add(time.Duration(c.GetLapseMs()) * time.Millisecond)
 		}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -44,6 +44,8 @@
 	Permits string `json:"permits"`
 	// Started is the time of its start in Unix milliseconds.
 	Started int64 `json:"started"`
+	// Registrations counts the registrations since the start, from 1.
+	Registrations int64 `json:"registrations"`
 	// Capacity ranks the instances of a zone: those with more are selected first.
 	Capacity float64 `json:"capacity"`
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,12 +126,12 @@
 	g.watcher = &watch.Watcher{
 		Feed: g.client, Sink: &platform.Sink{Listener: g}, Interval: _watchInterval, Log: g.Log,
 		Instance: s.Instance, Neighbours: g.neighbours, Peers: &changefeed.Client{Instance: s.Instance},
-		Start: g.start,
+		Start: g.start, Order: &platform.Order{Product: compareRegistrations}, Era: g.client.Era,
 	}
 	g.changefeed = &changefeed.Server{Source: g.watcher}
 	g.registration = &registration{
 		registry: g.client, member: g.directory.Self, log: g.Log, confirmed: g.registered, ready: g.Ready,
-		wakeups: make(chan struct{}, 1),
+		instances: g.instances, wakeups: make(chan struct{}, 1),
 	}
 	g.forward.Update(func(st *forward.State) { st.Workers.Changed = g.workerChanged })
 	return g
@@ -333,6 +333,13 @@
 	return addresses
 }
 
+// instances returns the number of known instances.
+func (g *Gateway) instances() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.directory.Names())
+}
+
 func (g *Gateway) registered() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -401,7 +408,7 @@
 
 func (g *Gateway) workerChanged(w *worker.Worker, change string) {
 	g.Log.Info("worker "+change, zap.String("worker", w.ID), zap.String("service", w.Service),
-		zap.String("address", w.Address), zap.String("zone", w.Zone), zap.Uint64("revision", uint64(w.Revision)))
+		zap.String("address", w.Address), zap.String("zone", w.Zone), zap.Stringer("revision", w.Revision))
 	if change == "gone" {
 		g.pool.CloseIdle(w.Address)
 	}
@@ -447,7 +454,7 @@
 	g.storeUnreachable = false
 	g.mu.Unlock()
 	if wasUnreachable {
-		g.Log.Info("store is available again", zap.Uint64("revision", uint64(revision)))
+		g.Log.Info("store is available again", zap.Stringer("revision", revision))
 		g.registration.wake()
 	}
 }
@@ -457,6 +464,7 @@
 func (g *Gateway) storeRestored(from, to store.Era) {
 	_restores.Inc()
 	_era.Set(float64(to))
+	g.registration.wake() // its lease ended with the era
 	g.Log.Warn("store was restored from a copy", zap.Uint32("era", uint32(to)), zap.Uint32("previousEra", uint32(from)))
 }
 
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +24,11 @@
 	_registrationTTL = 4500 * time.Millisecond
 	// _renewInterval is how often the lease is renewed.
 	_renewInterval = 1500 * time.Millisecond
+	// _registrationsPerSecond is the rate at which all instances register after an outage,
+	// a third of the writes that the smallest store takes: each takes two.
+	_registrationsPerSecond = 200
+	// _maxSpread is the longest time over which registrations are spread.
+	_maxSpread = time.Second
 	// _callTimeout is the timeout of the calls to the store for one renewal.
 	_callTimeout = time.Second
 	// _confirmTimeout is how long a registration may take to appear among the keys
@@ -38,6 +45,8 @@
 	// confirmed reports whether the key was read from the store.
 	confirmed func() bool
 	ready     func() error
+	// instances returns the number of known instances.
+	instances func() int
 	// wakeups holds a value if run must check the registration at once.
 	wakeups chan struct{}
 
@@ -59,6 +68,24 @@
 	return m, err
 }
 
+// compareRegistrations compares two values of the key of an instance by when it wrote them.
+func compareRegistrations(key string, a, b []byte) (order int, ok bool) {
+	if _, ok = instanceOf(key); !ok {
+		return 0, false
+	}
+	first, err := decodeMember(a)
+	if err != nil {
+		return 0, false
+	}
+	second, err := decodeMember(b)
+	if err != nil {
+		return 0, false
+	}
+	order = cmp.Or(cmp.Compare(first.Started, second.Started), cmp.Compare(first.Registrations, second.Registrations))
+	// Builds that do not count their registrations write the same value again.
+	return order, order != 0 || first.Registrations > 0
+}
+
 // wake makes run check the registration at once.
 func (r *registration) wake() {
 	select {
@@ -79,11 +106,28 @@
 		case <-ctx.Done():
 			return nil
 		case <-r.wakeups:
+			r.spread(ctx)
 		case <-time.After(_renewInterval):
 		}
 	}
 }
 
+// spread waits a random time before an instance that was registered writes again, up to
+// that in which the store takes one registration of each instance: all may be woken at once.
+func (r *registration) spread(ctx context.Context) {
+	r.mu.Lock()
+	first := r.lease == ""
+	r.mu.Unlock()
+	if first {
+		return
+	}
+	most := min(time.Duration(r.instances())*time.Second/_registrationsPerSecond, _maxSpread)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(rand.Float64() * float64(most))):
+	}
+}
+
 // renew renews the lease, or registers again if the lease expired or the key is
 // missing from the store.
 func (r *registration) renew(ctx context.Context) error {
@@ -117,6 +161,7 @@
 		}
 		r.lease = lease
 	}
+	r.member.Registrations++
 	value, err := json.Marshal(r.member)
 	if err != nil {
 		return errors.Wrap(err, "encode registration")
@@ -131,7 +176,8 @@
 	return err
 }
 
-// end revokes the lease and thereby removes the registration.
+// end removes the registration and revokes the lease. The key is deleted by its name first:
+// since the store was restored, the lease may be that of another instance.
 func (r *registration) end(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,7 +187,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
-	if err := r.registry.Revoke(ctx, r.lease); err != nil {
+	err := r.registry.Delete(ctx, platform.ProductKey(_instancePrefix+r.member.Name))
+	if err == nil {
+		err = r.registry.Revoke(ctx, r.lease)
+	}
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		r.log.Warn("registration was not removed; it will expire", zap.String("error", err.Error()))
 	}
 }
--- a/gateway/registration_test.go
+++ b/gateway/registration_test.go
@@ -36,6 +36,13 @@
 	return nil
 }
 
+func (r *slowRegistry) Delete(_ context.Context, key string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.keys, key)
+	return nil
+}
+
 func (r *slowRegistry) Revoke(_ context.Context, lease store.Lease) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -53,7 +60,7 @@
 	registry := &slowRegistry{keys: map[string]store.Lease{}, granted: make(chan struct{}), release: make(chan struct{})}
 	r := &registration{
 		registry: registry, member: directory.Member{Name: "e"}, log: zap.NewNop(), confirmed: func() bool { return true },
-		ready: func() error { return nil }, wakeups: make(chan struct{}, 1),
+		ready: func() error { return nil }, instances: func() int { return 1 }, wakeups: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
--- a/store/feed.go
+++ b/store/feed.go
@@ -11,18 +11,14 @@
 	// ErrCompacted is returned when the history since a revision was compacted:
 	// the prefix has to be read again.
 	ErrCompacted = errors.New("history since the revision was compacted")
+	// ErrRestored is returned when the store was restored from an earlier copy since
+	// the revision: the prefix has to be read again.
+	ErrRestored = errors.New("store was restored since the revision")
 	// ErrThrottled is returned when the store rejected a call because of its rate
 	// limit; nothing was written.
 	ErrThrottled = errors.New("store throttles calls")
 )
 
-// Era counts how often the store was restored from an earlier copy of its data. It is
-// zero if the store names none.
-type Era uint32
-
-// Revision counts the changes of the whole store.
-type Revision uint64
-
 // Item is a key with its value.
 type Item struct {
 	Key   string
@@ -44,11 +40,13 @@
 	Range(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// Changes returns the changes after a revision, as soon as there are any or
 	// when wait has passed, and the revision to pass next. It returns ErrCompacted
-	// when the history since the revision was compacted.
+	// when the history since the revision was compacted, and ErrRestored when the
+	// store was restored since.
 	Changes(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
 
-// Registry writes keys, with or without a lease.
+// Registry writes keys, with or without a lease. A lease does not outlive a restore of
+// the store: it then counts as one that does not exist.
 type Registry interface {
 	// Grant creates a lease that expires after ttl without renewal.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
@@ -57,6 +55,9 @@
 	// Put writes a key and binds it to the lease if one is given. It returns
 	// ErrNotFound if the lease does not exist.
 	Put(ctx context.Context, key string, value []byte, lease Lease) error
-	// Revoke ends a lease and removes its keys.
+	// Delete removes a key.
+	Delete(ctx context.Context, key string) error
+	// Revoke ends a lease and removes its keys. It returns ErrNotFound if the lease
+	// does not exist.
 	Revoke(ctx context.Context, lease Lease) error
 }
--- a/watch/reader.go
+++ b/watch/reader.go
@@ -51,6 +51,12 @@
 	s.excludedUntil[name] = now.Add(_excludeTime)
 }
 
+// Reset includes all neighbours again, this instance among them.
+func (s *ReaderSelector) Reset() {
+	s.Refused = false
+	clear(s.excludedUntil)
+}
+
 // Reader returns the neighbour to follow, or false if the instance has to read
 // the store itself.
 func (s *ReaderSelector) Reader(now time.Time, neighbours []Neighbour) (Neighbour, bool) {
--- a/watch/start.go
+++ b/watch/start.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"github.com/wigeonlock/wigeonlock/store"
 )
 
 const (
@@ -22,6 +26,10 @@
 	_maxCandidates = 2
 	_patientRounds = 4
 	_roundInterval = 250 * time.Millisecond
+	// _askRounds is the number of rounds in which neighbours are asked for what they
+	// retained, _askInterval apart: they know of a restore only after some seconds.
+	_askRounds   = 8
+	_askInterval = 500 * time.Millisecond
 )
 
 // Start is how an instance without any keys begins.
@@ -33,7 +41,10 @@
 	Patient bool
 }
 
-var _neighbourSnapshots = metrics.NewCounter("wigeonlock_follow_neighbour_snapshots_total")
+var (
+	_neighbourSnapshots = metrics.NewCounter("wigeonlock_follow_neighbour_snapshots_total")
+	_asked              = metrics.NewCounter("wigeonlock_follow_neighbours_asked_total")
+)
 
 // startFromNeighbour gets the first snapshot of a patient instance from a neighbour, as reading all keys of
 // a large deployment takes a call for each page, and hundreds of instances that were
@@ -72,27 +83,59 @@
 	}
 }
 
+// askNeighbours asks neighbours for what is newer than the restored store, and was lost to
+// an instance that has read only the store since, as it started or reads it for the others.
+func (w *Watcher) askNeighbours(ctx context.Context) {
+	for range _askRounds {
+		for _, n := range w.shuffledNeighbours(_maxCandidates) {
+			if b, ok := w.firstBatch(ctx, n, w.Revision()); ok && b.Revision.Era() >= w.Revision().Era() {
+				w.apply(time.Now(), b, time.Time{})
+				_asked.Inc()
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(_askInterval):
+		}
+	}
+}
+
+// shuffledNeighbours returns other instances of the region in random order, at most limit.
+func (w *Watcher) shuffledNeighbours(limit int) []Neighbour {
+	list := slices.DeleteFunc(slices.Clone(w.Neighbours()), func(n Neighbour) bool { return n.Name == w.Instance })
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), limit)]
+}
+
 // snapshotFrom applies the snapshot of a neighbour and reports whether it had a recent
 // one.
 func (w *Watcher) snapshotFrom(ctx context.Context, n Neighbour) bool {
+	b, ok := w.firstBatch(ctx, n, 0)
+	now := time.Now()
+	if !ok || !b.Full || b.Revision == 0 || now.Sub(b.At) > _maxReadAge || b.Revision.Era() < w.era() {
+		return false
+	}
+	w.apply(now, b, time.Time{})
+	return true
+}
+
+// firstBatch returns what a neighbour has read since a revision.
+func (w *Watcher) firstBatch(ctx context.Context, n Neighbour, after store.Revision) (Batch, bool) {
 	ctx, cancel := context.WithTimeout(ctx, _startTimeout)
 	defer cancel()
-	snapshots := make(chan Batch, 1)
+	batches := make(chan Batch, 1)
 	go func() {
-		_ = w.Peers.Follow(ctx, n, 0, func(b Batch) {
+		_ = w.Peers.Follow(ctx, n, after, func(b Batch) {
 			select {
-			case snapshots <- b:
+			case batches <- b:
 			default:
 			}
 			cancel()
 		})
-		close(snapshots)
+		close(batches)
 	}()
-	b, ok := <-snapshots
-	now := time.Now()
-	if !ok || !b.Full || b.Revision == 0 || now.Sub(b.At) > _maxReadAge {
-		return false
-	}
-	w.apply(now, b, time.Time{})
-	return true
+	b, ok := <-batches
+	return b, ok
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -8,7 +8,8 @@
 // revision, whichever instance they come from.
 //
 // The first read is a snapshot of all keys; another follows when the store has
-// compacted the history since the last read. Keys that are missing from a
+// compacted the history since the last read, or was restored from an earlier copy. Then
+// only the reader of each region reads it, and tells the others what is different. Keys that are missing from a
 // snapshot count as deleted. Right after an outage of the store a deletion may
 // be an artefact of the outage. It is then tentative: it carries the time until
 // which the key may reappear.
@@ -61,8 +62,14 @@
 	_followTime = 400 * time.Millisecond
 	// _refusedInterval is how often an instance that the store turns away tries to read.
 	_refusedInterval = 2 * time.Second
+	// _restoredWait and _restoredSpread are how long an instance waits, after the store was
+	// restored, for a neighbour to read it: all keys take a call for each page.
+	_restoredWait   = 2 * time.Second
+	_restoredSpread = 1500 * time.Millisecond
 	// _checkInterval is the time between checks of the age of the last read.
 	_checkInterval = 100 * time.Millisecond
+	// _maxLoggedKeys is the number of keys that are named after a restore.
+	_maxLoggedKeys = 10
 	// _subscriberQueue is the number of batches queued for one subscriber.
 	_subscriberQueue = 16
 )
@@ -104,6 +111,10 @@
 	// Peers connects to the reader. If it is nil, this instance always reads the
 	// store itself.
 	Peers Peers
+	// Order orders values of different eras of the store, and Era returns the latest era
+	// that the store has named. Both may be nil.
+	Order Order
+	Era   func() store.Era
 	// Start, if set, returns how to begin before any key was read.
 	Start func(ctx context.Context) (Start, error)
 	Log   *zap.Logger
@@ -120,9 +131,12 @@
 
 	// The fields below are used only by the goroutine of Run.
 
-	// compacted is set when the store has dropped the history since the last
-	// read.
-	compacted   bool
+	// snapshotDue is set when the store cannot tell the changes since the last read.
+	snapshotDue bool
+	// awaitedAt is the revision before the restore after which a neighbour is awaited to
+	// read the store, until awaitUntil.
+	awaitedAt   store.Revision
+	awaitUntil  time.Time
 	lastAttempt time.Time
 	pause       time.Duration
 	failures    int
@@ -144,6 +158,10 @@
 	_failures      = metrics.NewCounter("wigeonlock_follow_failures_total")
 	_panics        = metrics.NewCounter("wigeonlock_follow_panics_total")
 	_behind        = metrics.NewCounter("wigeonlock_follow_behind_total")
+	_retained      = metrics.NewCounter("wigeonlock_follow_retained_keys_total")
+	_lost          = metrics.NewCounter("wigeonlock_follow_lost_keys_total")
+	_expired       = metrics.NewCounter("wigeonlock_follow_expired_keys_total")
+	_earlierEras   = metrics.NewCounter("wigeonlock_follow_earlier_era_batches_total")
 	_readerChanges = metrics.NewCounter("wigeonlock_follow_leader_changes_total")
 )
 
@@ -151,6 +169,7 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	w.mu.Lock()
 	w.selector.Self = w.Instance
+	w.cache.Order = w.Order
 	w.mu.Unlock()
 	w.startFromNeighbour(ctx)
 	backoff := retry.Backoff{Base: _retryBase, Max: _retryMax}
@@ -158,10 +177,11 @@
 	defer tick.Stop()
 	for {
 		now := time.Now()
+		w.expire(now)
 		isReader := w.selectReader(ctx, now)
 		if w.due(now, isReader) {
 			w.lastAttempt, w.pause = now, w.Interval
-			if err := w.poll(ctx); err != nil {
+			if err := w.poll(ctx, isReader); err != nil {
 				w.pause = backoff.Delay(w.failures-1, rand.Float64())
 			}
 		}
@@ -249,8 +269,13 @@
 	if errors.Is(err, ErrBehind) {
 		_behind.Inc()
 		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.cache.Revision().Era() < w.era() {
+			// The store does not have the changes since either, another neighbour may.
+			w.selector.Exclude(time.Now(), n.Name)
+			return
+		}
 		w.behindAt = time.Now()
-		w.mu.Unlock()
 		return
 	}
 	w.Log.Info("lost the connection to a neighbour", zap.String("neighbour", n.Name), zap.String("error", errorText(err)))
@@ -287,19 +312,29 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !isReader && now.Before(w.awaitUntil) && w.cache.Revision() == w.awaitedAt {
+		return false
+	}
 	return isReader || w.outdated(now) || w.selector.Refused && now.Sub(w.lastAttempt) >= _refusedInterval
 }
 
-// poll reads the store once and applies what it read.
-func (w *Watcher) poll(ctx context.Context) error {
+// poll reads the store once and applies what it read. isReader is whether this instance
+// reads for its neighbours.
+func (w *Watcher) poll(ctx context.Context, isReader bool) error {
 	started := time.Now()
 	b, err := w.read(ctx)
 	now := time.Now()
 	switch {
-	case errors.Is(err, store.ErrCompacted) && !w.compacted:
-		w.compacted = true
+	case errors.Is(err, store.ErrRestored) && !w.snapshotDue:
+		if w.awaitNeighbour(now, isReader) {
+			return nil
+		}
+		w.snapshotDue = true
+		return w.poll(ctx, isReader)
+	case errors.Is(err, store.ErrCompacted) && !w.snapshotDue:
+		w.snapshotDue = true
 		w.Log.Info("store compacted the needed history, reading a snapshot")
-		return w.poll(ctx)
+		return w.poll(ctx, isReader)
 	case err != nil:
 		_failures.Inc()
 		if w.failures == 0 {
@@ -323,14 +358,36 @@
 		b.Changes[i].TentativeUntil = tentativeUntil
 	}
 	w.apply(now, b, tentativeUntil)
+	if b.Full && isReader && w.Peers != nil {
+		go w.askNeighbours(ctx)
+	}
 	return nil
 }
 
+// awaitNeighbour reports whether this instance leaves it to a neighbour to read all keys of
+// a restored store. It does so once, for a while.
+func (w *Watcher) awaitNeighbour(now time.Time, isReader bool) bool {
+	w.recoveredAt, w.failures = now, 0
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known := w.cache.Revision(); w.awaitedAt != known {
+		w.awaitedAt = known
+		w.awaitUntil = now.Add(_restoredWait + time.Duration(rand.Float64()*float64(_restoredSpread)))
+		// While the store was away, no neighbour had news.
+		w.selector.Reset()
+		if w.Peers != nil {
+			_, found := w.selector.Reader(now, w.Neighbours())
+			isReader = !found
+		}
+	}
+	return !isReader && now.Before(w.awaitUntil)
+}
+
 func (w *Watcher) read(ctx context.Context) (Batch, error) {
 	w.mu.Lock()
 	after := w.cache.Revision()
 	w.mu.Unlock()
-	if after == 0 || w.compacted {
+	if after == 0 || w.snapshotDue {
 		snapshotCtx, cancel := context.WithTimeout(ctx, _snapshotTimeout)
 		defer cancel()
 		items, revision, err := w.Feed.Range(snapshotCtx, w.Prefix)
@@ -338,7 +395,7 @@
 			return Batch{}, err
 		}
 		_snapshots.Inc()
-		w.compacted = false
+		w.snapshotDue = false
 		b := Batch{Full: true, Revision: revision}
 		for _, item := range items {
 			b.Changes = append(b.Changes, Change{Change: store.Change{Item: item}})
@@ -367,16 +424,25 @@
 	return w.recoveredAt.Add(_reappearTime)
 }
 
+// era returns the latest era that the store has named.
+func (w *Watcher) era() store.Era {
+	if w.Era == nil {
+		return 0
+	}
+	return w.Era()
+}
+
 // apply applies a batch and forwards the changes that neighbours need.
 func (w *Watcher) apply(now time.Time, b Batch, tentativeUntil time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	known := w.cache.Revision()
-	changes := w.cache.Apply(b, tentativeUntil)
-	if outdated := len(b.Changes) - len(changes); outdated > 0 && b.Revision <= known {
-		w.Log.Debug("changes were older than the known ones", zap.Int("changes", outdated),
-			zap.Uint64("revision", uint64(b.Revision)), zap.Uint64("knownRevision", uint64(known)))
+	if b.Revision.Era() < w.era() {
+		// It may hold news, but does not confirm what the store has now.
+		_earlierEras.Inc()
+		b.At = time.Time{}
 	}
+	before := w.cache.Revision()
+	changes := w.cache.Apply(b, tentativeUntil)
 	forwarded := Batch{Revision: b.Revision, At: b.At}
 	for _, c := range changes {
 		_changes.Inc()
@@ -385,10 +451,46 @@
 			forwarded.Changes = append(forwarded.Changes, c)
 		}
 	}
+	if before > 0 && b.Revision.Era() > before.Era() {
+		forwarded.Changes = append(forwarded.Changes, w.restored(before, b, changes)...)
+	}
 	w.Sink.Done(now, b.Revision)
 	w.forward(forwarded)
 }
 
+// restored logs what a restore of the store undid, and returns what is retained. The
+// caller holds mu.
+func (w *Watcher) restored(before store.Revision, b Batch, changes []Change) []Change {
+	lost := 0
+	for _, c := range changes {
+		if c.Deleted {
+			lost++
+		}
+	}
+	retained := w.cache.Retained()
+	keys := make([]string, 0, _maxLoggedKeys)
+	for _, c := range retained[:min(len(retained), _maxLoggedKeys)] {
+		keys = append(keys, c.Key)
+	}
+	_lost.Add(lost)
+	_retained.Add(len(retained))
+	w.Log.Warn("keys of the restored store are known", zap.Stringer("revision", b.Revision), zap.Stringer("knownRevision", before),
+		zap.Bool("snapshot", b.Full), zap.Int("changed", len(changes)-lost), zap.Int("lost", lost),
+		zap.Int("retained", len(retained)), zap.Strings("retainedKeys", keys))
+	return retained
+}
+
+// expire deletes the keys that a restored store lost and that were not written again.
+func (w *Watcher) expire(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.cache.Expire(now) {
+		_expired.Inc()
+		w.Log.Warn("lost key was not written again", zap.String("key", c.Key))
+		w.deliver(now, c)
+	}
+}
+
 // forward sends a batch to the subscribers. The caller holds mu.
 func (w *Watcher) forward(forwarded Batch) {
 	for subscriber := range w.subscribers {
@@ -421,6 +523,13 @@
 	return needed
 }
 
+// Revision returns the revision up to which the store was read.
+func (w *Watcher) Revision() store.Revision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cache.Revision()
+}
+
 // closeSubscribers ends all subscriptions. The caller holds mu.
 func (w *Watcher) closeSubscribers() {
 	for subscriber := range w.subscribers {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -2,7 +2,8 @@
 // workers exist and which are leaving, removed, cold or suspected.
 //
 // Updates carry the store's revision and are applied in revision order,
-// regardless of the order in which they arrive. A worker that reported that it is
+// regardless of the order in which they arrive. Updates of different eras of the store are
+// ordered by what the worker says of itself: its start and its count of entries. A worker that reported that it is
 // leaving, or whose entry was removed, gets no new requests.
 //
 // # Usage
@@ -72,6 +73,12 @@
 	return !w.Removed && !w.Leaving && (w.ExpiresAt.IsZero() || now.Before(w.ExpiresAt))
 }
 
+// precedes reports whether an entry of another era of the store is newer than the known
+// one, although its revision may be lower.
+func (w *Worker) precedes(e Entry, revision store.Revision) bool {
+	return revision.Era() != w.Revision.Era() && (e.Born > w.Born || e.Born == w.Born && e.Heartbeat > w.Heartbeat)
+}
+
 // Cold reports whether the worker is cold.
 func (w *Worker) Cold(now time.Time) bool {
 	return now.Before(w.ColdUntil)
@@ -98,7 +105,7 @@
 // outdated reports whether an entry was written before the removal, or by an
 // incarnation of the worker that had reported that it is leaving.
 func (r removal) outdated(e Entry, revision store.Revision) bool {
-	if revision <= r.revision {
+	if revision <= r.revision && (revision.Era() == r.revision.Era() || r.born == 0) {
 		return true
 	}
 	return r.born != 0 && (e.Born < r.born || e.Born == r.born && (r.leaving || e.Heartbeat <= r.heartbeat))
@@ -140,7 +147,7 @@
 		return false
 	}
 	w := r.byID[e.ID]
-	if w != nil && revision <= w.Revision {
+	if w != nil && revision <= w.Revision && !w.precedes(e, revision) {
 		if revision == w.Revision {
 			w.ExpiresAt = time.Time{}
 		}
@@ -190,9 +197,10 @@
 	return changed
 }
 
-// Delete applies the removal of an entry at a revision.
+// Delete applies the removal of an entry at a revision. A removal of an earlier era of the
+// store than that of the entry is given only if it is newer.
 func (r *Registry) Delete(id string, revision store.Revision) {
-	if revision <= r.removed[id].revision {
+	if isBefore(revision, r.removed[id].revision) {
 		return
 	}
 	w := r.byID[id]
@@ -202,7 +210,7 @@
 		r.removed[id] = last
 		return
 	}
-	if revision <= w.Revision {
+	if isBefore(revision, w.Revision) {
 		return
 	}
 	r.forget(revision)
@@ -211,6 +219,11 @@
 	r.notify(w, "gone")
 }
 
+// isBefore reports whether a revision is not after another one of its era.
+func isBefore(revision, known store.Revision) bool {
+	return revision.Era() == known.Era() && revision <= known
+}
+
 // forget deletes old removals when there are many. Workers removed that long ago do
 // not return.
 func (r *Registry) forget(now store.Revision) {
@@ -229,7 +242,7 @@
 // leaving worker is removed at once, and so is any worker if expiry is zero.
 func (r *Registry) MarkMissing(id string, revision store.Revision, expiry time.Time) {
 	w := r.byID[id]
-	if w == nil || revision < w.Revision {
+	if w == nil || revision < w.Revision && revision.Era() == w.Revision.Era() {
 		return
 	}
 	if expiry.IsZero() || w.Leaving {
