Starts in the gap hear from a neighbour before they use the restored store

An instance that starts right after the store was restored reads older states: it sent requests to workers that had left until it followed a neighbour, some 0.1 s later. It now gets what neighbours retained together with its first read, if the store names a later era than the first.

--- a/watch/start.go
+++ b/watch/start.go
@@ -62,6 +62,7 @@
 		w.Log.Info("neighbours are not known, reading the store", zap.String("error", err.Error()))
 		return
 	}
+	w.candidates = start.Candidates
 	if !start.Patient {
 		return
 	}
@@ -83,6 +84,20 @@
 	}
 }
 
+// missedByStore returns what a neighbour knows that an instance does not find in the store as
+// it starts, since the store was restored. The store counts eras from 1.
+func (w *Watcher) missedByStore(ctx context.Context, b Batch) []Batch {
+	if !b.Full || w.Revision() > 0 || b.Revision.Era() <= 1 || w.Peers == nil {
+		return nil
+	}
+	for _, n := range w.candidates[:min(len(w.candidates), _maxCandidates)] {
+		if missed, ok := w.firstBatch(ctx, n, b.Revision); ok && missed.Revision.Era() == b.Revision.Era() {
+			return []Batch{missed}
+		}
+	}
+	return nil
+}
+
 // askNeighbours asks neighbours for what is newer than the restored store, and was lost to
 // an instance that has read only the store since, as it started or reads it for the others.
 func (w *Watcher) askNeighbours(ctx context.Context) {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -135,8 +135,10 @@
 	snapshotDue bool
 	// awaitedAt is the revision before the restore after which a neighbour is awaited to
 	// read the store, until awaitUntil.
-	awaitedAt   store.Revision
-	awaitUntil  time.Time
+	awaitedAt  store.Revision
+	awaitUntil time.Time
+	// candidates are the neighbours that were known at the start.
+	candidates  []Neighbour
 	lastAttempt time.Time
 	pause       time.Duration
 	failures    int
@@ -357,7 +359,11 @@
 	for i := range b.Changes {
 		b.Changes[i].TentativeUntil = tentativeUntil
 	}
+	missed := w.missedByStore(ctx, b)
 	w.apply(now, b, tentativeUntil)
+	for _, m := range missed {
+		w.apply(now, m, time.Time{})
+	}
 	if b.Full && isReader && w.Peers != nil {
 		go w.askNeighbours(ctx)
 	}
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -123,3 +124,30 @@
 	e.Heartbeat = 4
 	assert.False(t, r.Put(now.Add(4500*time.Millisecond), e, 4))
 }
+
+// TestRestoredStoreBringsNoWorkerBack applies updates of a later era of the store, in which a
+// copy of some seconds ago is read, and then of the one before.
+func TestRestoredStoreBringsNoWorkerBack(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := worker.NewRegistry()
+	entry := func(id string, heartbeat int64, leaving bool) worker.Entry {
+		return worker.Entry{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 1, Born: 5, Heartbeat: heartbeat, Leaving: leaving}
+	}
+	r.Put(now, entry("leaves", 12, true), store.RevisionOf(1, 66))
+	r.Put(now, entry("gone", 12, false), store.RevisionOf(1, 60))
+	r.Delete("gone", store.RevisionOf(1, 67))
+
+	assert.False(t, r.Put(now, entry("leaves", 10, false), store.RevisionOf(2, 40)))
+	assert.False(t, r.Put(now, entry("gone", 12, false), store.RevisionOf(2, 41)))
+	assert.True(t, r.Get("leaves").Leaving)
+	assert.Nil(t, r.Get("gone"))
+
+	r.Put(now, entry("leaves", 13, true), store.RevisionOf(2, 51))
+	assert.True(t, r.Put(now, entry("gone", 13, false), store.RevisionOf(2, 52)), "it was only silent")
+	assert.True(t, r.Put(now, entry("gone", 14, true), store.RevisionOf(1, 70)), "a neighbour retained that it leaves")
+	assert.True(t, r.Get("gone").Leaving)
+	r.Delete("gone", store.RevisionOf(1, 71))
+	assert.Nil(t, r.Get("gone"), "a neighbour retained that it is gone")
+	r.Put(now, entry("leaves", 11, false), store.RevisionOf(1, 90))
+	assert.True(t, r.Get("leaves").Leaving)
+}
