A payment that a stopping instance cannot finish is refused at once

What callers saw: late in a planned stop, a request that must not run twice was taken from an open connection and passed on to a worker that needed longer than the rest of the stop: it was cut, or answered that it may have run.

Cause: for 0.4 of the stop timeout, 4 of 10 s, requests are accepted whatever time they may take, and the instance ends after 0.9 of it.

Evidence: TestPaymentLateInPlannedStopIsNotCut, without the change: passed on to the worker and 504 instead of 503.

Change: while the instance stops, a request that is not repeatable and whose deadline is after its end is refused (reason stopping), with a Retry-After of zero since another instance takes it. Requests are accepted for 2.9 s at most, also where the stop may take longer.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,6 +82,8 @@
 	PeakInstances int
 	Neighbours    int
 	SharedLimits  SharedLimits
+	// StopsAt is when the instance ends, zero unless it is stopping.
+	StopsAt time.Time
 }
 
 // Service forwards requests. The exported fields are set before the first use.
@@ -266,6 +268,9 @@
 		timeout = min(timeout, r.TimeLeft)
 	}
 	rs := &requestState{request: r, route: route, service: route.Pick(rand.Float64()), deadline: r.Received.Add(timeout)}
+	if s.stopsBefore(rs) {
+		return s.refuseAtOnce(r, relay.Stopping)
+	}
 	rs.returning = s.isReturn(rs)
 	ctx, cancel := s.withDeadline(ctx, rs)
 	defer cancel()
@@ -274,6 +279,17 @@
 	return answer
 }
 
+// stopsBefore reports whether the instance may end before a request is answered that must not
+// run twice: cut then, its caller could not tell whether it ran.
+func (s *Service) stopsBefore(rs *requestState) bool {
+	if rs.route.Kind.Repeatable() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.state.StopsAt.IsZero() && rs.deadline.After(s.state.StopsAt)
+}
+
 // withDeadline returns the context for the attempts of a request. A request that
 // must not run twice is not cancelled when its caller disconnects, as it would
 // then be unknown whether it ran.
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -41,6 +41,12 @@
 	return a
 }
 
+// refuseAtOnce returns a refusal for a request that did not run and that another instance
+// takes at once.
+func (s *Service) refuseAtOnce(r *relay.Request, reason relay.Reason) *relay.Answer {
+	return s.refuse(r, reason, time.Now())
+}
+
 // refuse returns a refusal for a request that did not run, with a Retry-After
 // that is jittered so that refused callers do not return all at once.
 func (s *Service) refuse(r *relay.Request, reason relay.Reason, deadline time.Time) *relay.Answer {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// truncated answers only for requests that arrive in the first three of its six
 	// seconds.
 	_drainShare = 0.4
+	// _maxDrainTime is the longest time of the same: later requests are not excused however
+	// long the stop may take.
+	_maxDrainTime = 2900 * time.Millisecond
 	// _stopShare is the fraction of the stop timeout after which the instance no
 	// longer waits for pending requests.
 	_stopShare = 0.9
@@ -231,11 +234,13 @@
 	g.leaving = true
 	g.directory.Serving = false
 	g.mu.Unlock()
+	total := g.Settings.Stop().Seconds()
+	end := started.Add(seconds(total * _stopShare))
+	g.forward.Update(func(st *forward.State) { st.StopsAt = end })
 	g.frontend.DisableKeepAlive()
 	g.registration.end(ctx)
-	total := g.Settings.Stop().Seconds()
-	wait(ctx, started.Add(seconds(total*_drainShare)))
-	endCtx, cancel := context.WithDeadline(ctx, started.Add(seconds(total*_stopShare)))
+	wait(ctx, started.Add(min(seconds(total*_drainShare), _maxDrainTime)))
+	endCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	g.frontend.Shutdown(endCtx)
 	g.Log.Info("instance stopped", zap.Duration("took", time.Since(started)))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,6 +84,7 @@
 	RetryBudget        Reason = "retryBudget"
 	NoWorkers          Reason = "noWorkers"
 	WorkerLimit        Reason = "workerLimit"
+	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 )
 
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -181,7 +181,7 @@
 		{
 			"a stop aborts requests", check.Answered,
 			[]Edit{
-				{_gateway, "wait(ctx, started.Add(seconds(total*_drainShare)))", ""},
+				{_gateway, "wait(ctx, started.Add(min(seconds(total*_drainShare), _maxDrainTime)))", ""},
 				{"frontend/frontend.go", "for c := range s.conns {\n\t\tc.finish(s.lastRead)", "for c := range s.conns {\n\t\t_ = c.Close()"},
 			},
 			[]fault.Event{at(1, fault.Terminate, 0), at(2, fault.Terminate, 2), at(3, fault.Terminate, 1)},
