serve: a stale refusal on a kept connection is no promise

What callers saw: a worker wrote an earlier refusal once more on a kept connection; the next caller was told that its request had not run, while the worker ran it.

Cause: a refusal without a request ID was believed on any connection.

Evidence: backend/http.TestStaleRefusalIsNoPromise failed: notRun instead of unknown. An entry instance already ignored it (exchange.TestLateCopyIsNoAnswer). Heads that break off are no answers in either: the tests now also cut heads of answers without length and of interim answers at each byte.

Change: such a refusal counts only on a new connection. The stand-in of a worker names the request in its refusals.

--- a/backend/http/http.go
+++ b/backend/http/http.go
@@ -74,8 +74,11 @@
 func (t *Transport) Handle(ctx context.Context, w backend.Worker, r *relay.Request) (*relay.Answer, backend.Result) {
 	exchangeCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var sent, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sent.Store(true)
+		reused.Store(info.Reused)
+	}}
 	req := newRequest(httptrace.WithClientTrace(exchangeCtx, trace), ctx, w, r)
 	resp, err := t.client(w.Address).RoundTrip(req)
 	stopped := stop()
@@ -88,7 +91,7 @@
 		cancel(nil)
 		return t.classifyFailure(ctx, w, sent.Load())
 	}
-	answer, result := newAnswer(w, r, resp)
+	answer, result := newAnswer(w, r, resp, reused.Load())
 	if answer.Body == nil {
 		_ = resp.Body.Close()
 		cancel(nil)
@@ -215,15 +218,19 @@
 }
 
 // newAnswer converts the head of an answer. Its body stays open unless the worker
-// refused or the answer belongs to another request.
-func newAnswer(w backend.Worker, r *relay.Request, resp *http.Response) (*relay.Answer, backend.Result) {
-	if id := resp.Header.Get(relay.HeaderRequestID); id != "" && id != r.ID {
+// refused or the answer belongs to another request. A refusal without a request ID may, on a
+// connection that was used before, be a late copy of one to an earlier request, while the
+// worker runs this one.
+func newAnswer(w backend.Worker, r *relay.Request, resp *http.Response, reused bool) (*relay.Answer, backend.Result) {
+	id := resp.Header.Get(relay.HeaderRequestID)
+	refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(relay.HeaderRefused) == "true"
+	if id != "" && id != r.ID || refused && reused && id == "" {
 		_foreign.Inc()
 		answer := relay.Unknown(relay.ForeignAnswer)
 		answer.Worker = w.Name
 		return answer, backend.Broken
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(relay.HeaderRefused) == "true" {
+	if refused {
 		answer := relay.NotRun(relay.WorkerRefused)
 		answer.Worker = w.Name
 		if resp.Header.Get(relay.HeaderDraining) != "" {
--- a/backend/http/http_test.go
+++ b/backend/http/http_test.go
@@ -105,3 +105,43 @@
 	assert.Equal(t, retry.Unknown, a.Outcome)
 	assert.Less(t, time.Since(started), 3*time.Second)
 }
+
+// TestStaleRefusalIsNoPromise has a worker write an earlier refusal once more on a kept
+// connection, while it runs the next request: its caller must not be told that it did not run.
+func TestStaleRefusalIsNoPromise(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"without ID": "HTTP/1.1 503 Full\r\nWigeonlock-Refused: true\r\nContent-Length: 0\r\n\r\n",
+		"with ID":    "HTTP/1.1 503 Full\r\nWigeonlock-Refused: true\r\nWigeonlock-Request-Id: r1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := workerOf(t, func(n int, _ *http.Request, _ net.Conn) string { return refusal })
+			transport := &backendhttp.Transport{Connections: 1}
+			first, _ := handle(t, transport, w, "r1")
+			assert.Equal(t, retry.NotRun, first.Outcome)
+			second, _ := handle(t, transport, w, "r2")
+			assert.Equal(t, retry.Unknown, second.Outcome)
+		})
+	}
+}
+
+// TestHeadThatBreaksOffIsNoAnswer has a worker stop at each byte of the head of its answer, and
+// close or reset the connection.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nWigeonlock-Request-Id: r1\r\nContent-Length: 100\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nWigeonlock-Request-Id: r1\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		for end := range len(head) {
+			w := workerOf(t, func(_ int, _ *http.Request, c net.Conn) string {
+				_, _ = io.WriteString(c, head[:end])
+				if end%2 == 0 {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+				return ""
+			})
+			a, body := handle(t, &backendhttp.Transport{Connections: 1}, w, "r1")
+			assert.True(t, a.Outcome == retry.Unknown || body == "broken", "%q", head[:end])
+		}
+	}
+}
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -173,9 +173,14 @@
 // close or a reset: none is taken for a complete one.
 func TestAnswersThatBreakOffAreIncomplete(t *testing.T) {
 	tests := map[string]string{
-		"length": string(ok("one", "0123456789")),
-		"chunks": "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nA: b\r\n\r\n",
+		"length":     string(ok("one", "0123456789")),
+		"chunks":     "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nA: b\r\n\r\n",
+		"no length":  "HTTP/1.1 200 OK\r\nId: one\r\nContent-Type: text/plain\r\n\r\nabc",
+		"no content": "HTTP/1.1 204 No\r\nId: one\r\nA: b\r\n\r\n",
+		"interim":    "HTTP/1.1 103 Early\r\nA: b\r\n\r\n" + string(ok("one", "0123456789")),
 	}
+	// bodies are what may end anywhere, as the end of the connection is theirs.
+	bodies := map[string]string{"no length": "abc"}
 	for name, whole := range tests {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, " reset ", reset), func(t *testing.T) {
@@ -189,7 +194,7 @@
 					return nil
 				})
 				p := &exchange.Pool{HeaderNames: _names}
-				for n := range len(whole) {
+				for n := range len(whole) - len(bodies[name]) {
 					end.Store(int64(n))
 					result := do(t, p, w, request("one"))
 					assert.Equal(t, retry.Unknown, result.Answer.Outcome, "%q", whole[:n])
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -26,6 +26,9 @@
 	_minLateReplyDelay  = 500 * time.Millisecond
 )
 
+// _productRequestID is the header with the ID of a request, in requests and answers.
+const _productRequestID = "Wigeonlock-Request-Id"
+
 // RefusedHeader marks a 503 from a worker that did not run the request.
 const RefusedHeader = "Wigeonlock-Refused"
 
@@ -250,6 +253,7 @@
 		if leaving || b.Mode == Draining || b.Mode == Shed || busy > int64(w.Slots) {
 			time.Sleep(_refuseTime)
 			rw.Header().Set(RefusedHeader, "true")
+			rw.Header().Set(_productRequestID, r.Header.Get(_productRequestID))
 			if leaving || b.Mode == Draining {
 				rw.Header().Set("Wigeonlock-Draining", "true")
 			}
@@ -308,7 +312,7 @@
 	now := time.Now()
 	run := &Run{
 		Start:          now,
-		RequestID:      r.Header.Get("Wigeonlock-Request-Id"),
+		RequestID:      r.Header.Get(_productRequestID),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Method:         r.Method,
 		Path:           r.URL.Path,
@@ -346,7 +350,7 @@
 	writeJSON(rw, struct {
 		RequestID string `json:"requestId"`
 		Query     string `json:"query"`
-	}{r.Header.Get("Wigeonlock-Request-Id"), r.URL.RawQuery})
+	}{r.Header.Get(_productRequestID), r.URL.RawQuery})
 }
 
 func (w *Worker) bytes(rw http.ResponseWriter, r *http.Request) {
