The soak restores the store, and checks that nothing comes back

A new invariant, staysAway: what took effect at an instance holds there also while the store is disrupted. Four broken variants.

--- a/backend/http/http_test.go
+++ b/backend/http/http_test.go
@@ -114,7 +114,7 @@
 		"with ID":    "HTTP/1.1 503 Full\r\nWigeonlock-Refused: true\r\nWigeonlock-Request-Id: r1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := workerOf(t, func(n int, _ *http.Request, _ net.Conn) string { return refusal })
+			w := workerOf(t, func(int, *http.Request, net.Conn) string { return refusal })
 			transport := &backendhttp.Transport{Connections: 1}
 			first, _ := handle(t, transport, w, "r1")
 			assert.Equal(t, retry.NotRun, first.Outcome)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -43,6 +43,7 @@
 	require.NoError(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err, "it ends with an answer")
+	defer func() { _ = resp.Body.Close() }()
 	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	assert.Equal(t, "0.000", resp.Header.Get("Retry-After"), "another instance takes it at once")
 	assert.Equal(t, served, w.count())
--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -40,6 +40,9 @@
 	Drained Invariant = "drained"
 	// Evacuated: the workers of a closed zone receive no requests.
 	Evacuated Invariant = "evacuated"
+	// StaysAway: what took effect at an instance, a worker that leaves or a closed zone,
+	// holds there until it ends, also while the store is disrupted.
+	StaysAway Invariant = "staysAway"
 	// InForce: an accepted configuration becomes active in time.
 	InForce Invariant = "inForce"
 	// NeverBack: an instance does not revert to an older configuration.
@@ -281,6 +284,7 @@
 	{Recovered, true, recovered},
 	{Drained, true, drained},
 	{Evacuated, true, evacuated},
+	{StaysAway, true, staysAway},
 	{InForce, true, inForce},
 	{InTime, true, inTime},
 	{GivenUp, true, givenUp},
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -84,6 +84,14 @@
 		{check.Home, func(l *check.Log) { l.Visits[2].Zone = "c" }},
 		{check.Drained, func(l *check.Log) { addCall(l, "w2", "a", 13) }},
 		{check.Evacuated, func(l *check.Log) { addCall(l, "w1", "b", 18) }},
+		{check.StaysAway, func(l *check.Log) {
+			l.Disruptions = append(l.Disruptions, check.Disruption{From: at(13), Until: at(14), Cause: "store reset"})
+			addCall(l, "w2", "a", 13.5)
+		}},
+		{check.StaysAway, func(l *check.Log) {
+			l.Disruptions = append(l.Disruptions, check.Disruption{From: at(17.5), Until: at(18), Cause: "store reset"})
+			addCall(l, "w1", "b", 18)
+		}},
 		{check.InForce, func(l *check.Log) { l.Calls[4].Status = 404 }},
 		{check.InForce, func(l *check.Log) {
 			l.Calls = append(l.Calls, call("q7", "/mark-5/1", 14))
--- a/soak/check/system.go
+++ b/soak/check/system.go
@@ -38,13 +38,7 @@
 		if a.Kind != AckClosed {
 			continue
 		}
-		var opened time.Time
-		for _, b := range c.Acks[i:] {
-			if b.Kind == AckOpened && b.Zone == a.Zone {
-				opened = b.At
-				break
-			}
-		}
+		opened := c.openedAfter(i)
 		for _, v := range c.Visits {
 			if v.Zone != a.Zone || v.Misdirected || !v.At.After(a.At.Add(c.Limits.Evacuate)) || !opened.IsZero() && !v.At.Before(opened) {
 				continue
@@ -57,6 +51,57 @@
 	}
 }
 
+// staysAway checks that no instance sends requests to a worker that leaves or a zone that is
+// closed, once it had the time to hear of that while it and the store were undisturbed.
+func staysAway(c *checker) {
+	for i, a := range c.Acks {
+		limit := c.Limits.Drain
+		if a.Kind == AckClosed {
+			limit = c.Limits.Evacuate
+		} else if a.Kind != AckLeaving {
+			continue
+		}
+		from := a.At.Add(limit)
+		until := c.openedAfter(i)
+		for _, v := range c.Visits {
+			concerned := a.Kind == AckLeaving && v.Worker == a.Worker || a.Kind == AckClosed && v.Zone == a.Zone
+			if !concerned || v.Misdirected || !v.At.After(from) || !until.IsZero() && !v.At.Before(until) {
+				continue
+			}
+			call := c.calls[v.RequestID]
+			if call == nil || !call.Sent.After(from) || !c.instanceStable(call.Instance, a.At, from, true) ||
+				!c.workerStable(v.Worker, a.At, v.At) || c.restarted(call.Instance, a.At, v.At) {
+				continue
+			}
+			if c.instanceStable(call.Instance, a.At, v.At, true) {
+				continue // Drained and Evacuated report it
+			}
+			c.report(v.At, v.RequestID, fmt.Sprintf("%s sent it to worker %s in zone %s %s after that had ended there",
+				call.Instance, v.Worker, v.Zone, v.At.Sub(from)))
+		}
+	}
+}
+
+// openedAfter returns when the zone of an acknowledgement was opened again, or zero.
+func (c *checker) openedAfter(i int) time.Time {
+	for _, b := range c.Acks[i:] {
+		if b.Kind == AckOpened && b.Zone == c.Acks[i].Zone {
+			return b.At
+		}
+	}
+	return time.Time{}
+}
+
+// restarted reports whether an instance did not run at some time of a period.
+func (c *checker) restarted(instance string, from, to time.Time) bool {
+	for _, d := range c.Downtimes {
+		if d.Instance == instance && d.From.Before(to) && (d.Until.IsZero() || d.Until.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // inForce checks which configuration the calls observe: an added path is found, a
 // removed one is not.
 func inForce(c *checker) {
--- a/soak/fault/fault.go
+++ b/soak/fault/fault.go
@@ -37,6 +37,8 @@
 	// Faults of the store. StoreCompact discards its change history.
 	StoreFault   Kind = "store"
 	StoreCompact Kind = "storeForget"
+	// Restore has the store come back from an earlier copy after an outage.
+	Restore Kind = "restore"
 	// Events of workers. Drain announces that a worker leaves, Replace removes it
 	// unannounced and may give its address to another service.
 	Drain       Kind = "drain"
@@ -61,6 +63,8 @@
 	Target int `json:"target,omitempty"`
 	// Mode selects how a link, the store or a worker fails.
 	Mode string `json:"how,omitempty"`
+	// Age is how old the copy is from which the store is restored.
+	Age time.Duration `json:"ageNs,omitempty"`
 	// Share is the share of a worker's requests that are affected, or that it takes.
 	Share float64 `json:"share,omitempty"`
 }
@@ -75,6 +79,9 @@
 	if e.Duration > 0 {
 		text += fmt.Sprintf(" for %.2fs", e.Duration.Seconds())
 	}
+	if e.Age > 0 {
+		text += fmt.Sprintf(" to %.2fs before", e.Age.Seconds())
+	}
 	if e.Share > 0 {
 		text += fmt.Sprintf(" share %.2f", e.Share)
 	}
@@ -141,6 +148,13 @@
 	_maxLimits    = 3
 	_minLimitTime = 5 * time.Second
 	_maxLimitTime = 10 * time.Second
+	// _maxRestores is the largest number of restores in a schedule, _minRestoreTime and
+	// _maxRestoreTime are the shortest and longest outage, and _maxCopyAge is the age of
+	// the oldest copy.
+	_maxRestores    = 2
+	_minRestoreTime = 300 * time.Millisecond
+	_maxRestoreTime = 2500 * time.Millisecond
+	_maxCopyAge     = 10 * time.Second
 	// _minShare is the smallest share of a worker's requests that are affected.
 	_minShare = 0.05
 )
@@ -161,6 +175,7 @@
 		events = append(events, e)
 	}
 	events = append(events, drawLimits(seed, window, t)...)
+	events = append(events, drawRestores(seed, window)...)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
 	return events
 }
@@ -181,6 +196,20 @@
 	return events
 }
 
+// drawRestores draws restores of the store, also from numbers of their own.
+func drawRestores(seed uint64, window time.Duration) []Event {
+	r := rand.New(rand.NewPCG(seed, uint64(Restore[0])))
+	events := make([]Event, r.IntN(_maxRestores+1))
+	for i := range events {
+		events[i] = Event{
+			At: _quietStart + time.Duration(r.Int64N(int64(window))), Kind: Restore, Mode: []string{"reset", "silent", "busy"}[r.IntN(3)],
+			Duration: _minRestoreTime + time.Duration(r.Int64N(int64(_maxRestoreTime-_minRestoreTime))),
+			Age:      time.Duration(r.Int64N(int64(_maxCopyAge))),
+		}
+	}
+	return events
+}
+
 // drawEvent draws everything of an event except its time.
 func drawEvent(r *rand.Rand, t Topology) Event {
 	total := 0
--- a/soak/play/event.go
+++ b/soak/play/event.go
@@ -67,7 +67,9 @@
 func (r *run) injectExternal(e fault.Event) {
 	switch e.Kind {
 	case fault.StoreFault:
-		r.storeOutage(e.Mode, e.Duration)
+		r.storeOutage(e.Mode, e.Duration, func() {})
+	case fault.Restore:
+		r.storeOutage(e.Mode, e.Duration, func() { r.restore(e) })
 	case fault.StoreCompact:
 		r.kv.Compact()
 	case fault.Drain:
@@ -119,8 +121,8 @@
 }
 
 // storeOutage makes the store fail in a mode for a while, unless another outage is
-// in progress.
-func (r *run) storeOutage(mode string, d time.Duration) {
+// in progress. recover is called before the store serves again.
+func (r *run) storeOutage(mode string, d time.Duration, recover func()) {
 	r.mu.Lock()
 	if !isClosed(r.storeServes) {
 		r.mu.Unlock()
@@ -131,7 +133,9 @@
 	end := r.recordDisruption(check.Disruption{Cause: "store " + mode})
 	r.kv.SetMode(mode)
 	r.sleep(d)
+	recover()
 	r.kv.SetMode(standin.KVServes)
+	r.writeAgain()
 	end()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -178,12 +182,17 @@
 		if r.version > _keptVersions {
 			a.Removed = markPath(r.version - _keptVersions)
 		}
-		r.kv.Configure(uint32(r.version*_versionStep), routesOf(r.version), _services, _coldRate)
+		r.writeConfiguration()
 		a.At = time.Now()
 		r.log.Acks = append(r.log.Acks, a)
 	})
 }
 
+// writeConfiguration writes the current version. The caller holds mu.
+func (r *run) writeConfiguration() {
+	r.kv.Configure(uint32(r.version*_versionStep), routesOf(r.version), _services, _coldRate)
+}
+
 // routesOf returns the routes of a configuration version.
 func routesOf(version int) []standin.Route {
 	newRoute := func(name, kind, service string, attempts int, homes ...string) standin.Route {
@@ -212,12 +221,14 @@
 // evacuate closes a zone for a while.
 func (r *run) evacuate(zone string, d time.Duration) {
 	r.whenStoreServes(func() {
+		r.setClosed(zone, true)
 		r.kv.Evacuate(zone, true)
 		r.ack(check.Ack{Kind: check.AckClosed, Zone: zone})
 	})
 	r.sleep(d)
 	r.whenStoreServes(func() {
 		r.ack(check.Ack{Kind: check.AckOpened, Zone: zone})
+		r.setClosed(zone, false)
 		r.kv.Evacuate(zone, false)
 	})
 }
--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -131,7 +131,11 @@
 	workerCount int
 	version     int
 	lost        int
-	err         error
+	// closed counts the requests of the operator to close each zone.
+	closed map[string]int
+	// rewrite is set if the store was restored and not yet written again.
+	rewrite bool
+	err     error
 	// storeServes is closed while the store serves.
 	storeServes chan struct{}
 }
@@ -141,6 +145,7 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{Options: o, kv: standin.NewKV(), client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	r.log = check.Log{Limits: check.PlatformLimits(), SkipTimed: o.SkipTimed, Services: services(), Homes: map[string][]string{"home": {"a", "b"}}}
+	r.closed = make(map[string]int)
 	r.storeServes = make(chan struct{})
 	close(r.storeServes)
 	r.kv.SetPageSize(_storePageSize)
--- a/soak/play/play_test.go
+++ b/soak/play/play_test.go
@@ -42,6 +42,7 @@
 		event(2.2, fault.WorkerLink, 6, "cutDown", 0.8, 0),
 		event(2.5, fault.StoreCompact, 0, "", 0, 0),
 		event(2.5, fault.Configure, 0, "", 0, 0),
+		{At: 2700 * time.Millisecond, Kind: fault.Restore, Mode: "reset", Duration: 400 * time.Millisecond, Age: time.Second},
 		event(3, fault.KillAll, 0, "", 0, 0),
 	}
 	result, err := play.Run(t.Context(), play.Options{
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -62,8 +62,17 @@
 	_placement      = "placement/placement.go"
 	_placementState = "placement/state.go"
 	_gateway        = "gateway/gateway.go"
+	_order          = "platform/order.go"
 )
 
+// restored returns events with a restore of the store to before those of its third and fourth
+// second.
+func restored(events ...fault.Event) []fault.Event {
+	return append(events, fault.Event{
+		At: 4500 * time.Millisecond, Kind: fault.Restore, Mode: "reset", Duration: 500 * time.Millisecond, Age: 2 * time.Second,
+	})
+}
+
 // workerFaults returns events in which all workers of both services fail a share of
 // their requests in a mode.
 func workerFaults(mode string, share float64) []fault.Event {
@@ -222,6 +231,40 @@
 			[]Edit{{"gateway/registration.go", "_registrationTTL = 4500 * time.Millisecond", "_registrationTTL = time.Minute"}},
 			[]fault.Event{at(3, fault.Lose, 0)},
 		},
+		{
+			"the era of the store is ignored", check.InForce,
+			[]Edit{{"platform/client.go", "header.Get(_eraHeader)", "header.Get(\"\")"}},
+			restored(at(3, fault.Configure, 0), at(3.3, fault.Configure, 0), at(9.5, fault.Configure, 0)),
+		},
+		{
+			"a restored store reverts the configuration", check.NeverBack,
+			[]Edit{
+				{_gateway, "c.Version > st.Catalog.Version", "c.Version != st.Catalog.Version"},
+				{_order, "return cmp.Compare(versionOf(a), versionOf(b)), true", "return 0, false"},
+			},
+			restored(at(3, fault.Configure, 0), at(3.2, fault.Configure, 0), at(3.4, fault.Configure, 0)),
+		},
+		{
+			"a restored store brings back workers that left", check.StaysAway,
+			[]Edit{
+				{_order, "return compareWorkers(id, a, b)", "return 0, false"},
+				{"worker/worker.go", "e.Born == r.born && (r.leaving || e.Heartbeat <= r.heartbeat)", "false"},
+				{"worker/worker.go", "if w != nil && w.Born != 0 && (e.Born < w.Born || e.Born == w.Born && e.Heartbeat < w.Heartbeat) {", "if false {"},
+			},
+			[]fault.Event{
+				at(1, fault.Drain, 0), at(1, fault.Drain, 1),
+				{At: 3600 * time.Millisecond, Kind: fault.Restore, Mode: "reset", Duration: 300 * time.Millisecond, Age: 4 * time.Second},
+			},
+		},
+		{
+			"a restored store opens closed zones", check.StaysAway,
+			[]Edit{{_order, "return _rewriteTime, true", "return 0, false"}},
+			[]fault.Event{
+				{At: time.Second, Kind: fault.Evacuate, Duration: 12 * time.Second},
+				{At: 6200 * time.Millisecond, Kind: fault.Restore, Mode: "reset", Duration: 300 * time.Millisecond, Age: 6 * time.Second},
+				{At: 8800 * time.Millisecond, Kind: fault.Restore, Mode: "reset", Duration: 300 * time.Millisecond, Age: 9 * time.Second},
+			},
+		},
 		{
 			"failed workers are never retried", check.Recovered,
 			[]Edit{
--- a/watch/restored_test.go
+++ b/watch/restored_test.go
@@ -198,12 +198,12 @@
 	return f
 }
 
-func (f *restorable) put(key, value string) {
+func (f *restorable) configure(version string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rev++
-	f.items[key] = store.Item{Key: key, Value: []byte(value), Revision: f.rev}
-	f.changes = append(f.changes, store.Change{Item: f.items[key]})
+	f.items["config"] = store.Item{Key: "config", Value: []byte(version), Revision: f.rev}
+	f.changes = append(f.changes, store.Change{Item: f.items["config"]})
 }
 
 // copy keeps the data as they are for restore.
@@ -273,8 +273,8 @@
 	return s.sink.Put(now, i)
 }
 
-func (s *valueSink) value(key string) string {
-	v, _ := s.values.Load(key)
+func (s *valueSink) version() string {
+	v, _ := s.values.Load("config")
 	text, _ := v.([]byte)
 	return string(text)
 }
@@ -311,12 +311,13 @@
 	return w
 }
 
-func (r *region) everywhere(key, value string) func() bool {
+// active returns a condition: all instances have a version of the configuration.
+func (r *region) active(version string) func() bool {
 	return func() bool {
 		r.peers.mu.Lock()
 		defer r.peers.mu.Unlock()
 		for _, s := range r.sinks {
-			if s.value(key) != value {
+			if s.version() != version {
 				return false
 			}
 		}
@@ -331,31 +332,31 @@
 	for _, instances := range []int{3, 98, 180} {
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			f := newRestorable()
-			f.put("config", "8")
+			f.configure("8")
 			r := newRegion(f, instances)
 			for _, n := range r.all {
 				run(t, r.watcher(n.Name))
 			}
-			require.Eventually(t, r.everywhere("config", "8"), _waitTimeout, 20*time.Millisecond)
+			require.Eventually(t, r.active("8"), _waitTimeout, 20*time.Millisecond)
 			version := 8
 			for range 2 {
 				time.Sleep(time.Second)
 				f.copy()
 				for range 5 {
 					version++
-					f.put("config", strconv.Itoa(version))
+					f.configure(strconv.Itoa(version))
 				}
-				require.Eventually(t, r.everywhere("config", strconv.Itoa(version)), _waitTimeout, 20*time.Millisecond)
+				require.Eventually(t, r.active(strconv.Itoa(version)), _waitTimeout, 20*time.Millisecond)
 				f.snapshots.Store(0)
 				f.down.Store(true)
 				time.Sleep(1700 * time.Millisecond)
 				f.restore()
 				f.down.Store(false)
 				time.Sleep(2500 * time.Millisecond)
-				assert.True(t, r.everywhere("config", strconv.Itoa(version))(), "no version comes back")
+				assert.True(t, r.active(strconv.Itoa(version))(), "no version comes back")
 				version++
-				f.put("config", strconv.Itoa(version))
-				require.Eventually(t, r.everywhere("config", strconv.Itoa(version)), 2*time.Second, 20*time.Millisecond)
+				f.configure(strconv.Itoa(version))
+				require.Eventually(t, r.active(strconv.Itoa(version)), 2*time.Second, 20*time.Millisecond)
 				assert.LessOrEqual(t, f.snapshots.Load(), int32(8), "whole reads of the store")
 			}
 		})
@@ -366,21 +367,21 @@
 // others while the restored store has an older configuration.
 func TestReaderThatStartsInTheGapHearsOfLostConfiguration(t *testing.T) {
 	f := newRestorable()
-	f.put("config", "8")
+	f.configure("8")
 	r := newRegion(f, 5)
 	for _, n := range r.all[1:] {
 		run(t, r.watcher(n.Name))
 	}
-	require.Eventually(t, r.everywhere("config", "8"), _waitTimeout, 20*time.Millisecond)
+	require.Eventually(t, r.active("8"), _waitTimeout, 20*time.Millisecond)
 	f.copy()
-	f.put("config", "11")
-	require.Eventually(t, r.everywhere("config", "11"), _waitTimeout, 20*time.Millisecond)
+	f.configure("11")
+	require.Eventually(t, r.active("11"), _waitTimeout, 20*time.Millisecond)
 	f.down.Store(true)
 	time.Sleep(time.Second)
 	f.restore()
 	f.down.Store(false)
 	run(t, r.watcher(r.all[0].Name))
-	require.Eventually(t, r.everywhere("config", "11"), 4*time.Second, 20*time.Millisecond)
-	f.put("config", "13")
-	require.Eventually(t, r.everywhere("config", "13"), 2500*time.Millisecond, 20*time.Millisecond)
+	require.Eventually(t, r.active("11"), 4*time.Second, 20*time.Millisecond)
+	f.configure("13")
+	require.Eventually(t, r.active("13"), 2500*time.Millisecond, 20*time.Millisecond)
 }
