serve: edits of the lists after a restored store are active

What operators saw (found while looking for the same cause elsewhere, not reported): the store of serve is restored to before an accepted edit; another edit gets the number of the lost one. Instances that had the lost one never install it, and those that start do.

Cause: a head is ordered by its version, which counts from what the store holds. Versions of keys went back too, so that a swap could overwrite what another instance had written since.

Change: serve reads the era of its store; versions of keys hold it, and an edit in a later era gets a higher version than all of earlier ones. The stand-in of the store can be restored (POST /standin/restore).

--- a/rollout/editor.go
+++ b/rollout/editor.go
@@ -15,6 +15,8 @@
 const (
 	_editAttempts = 8
 	_editPause    = 100 * time.Millisecond
+	// _versionsPerEra is more than the edits between two restores of the store.
+	_versionsPerEra = 1_000_000
 )
 
 // ConflictError reports that another edit was accepted first.
@@ -59,7 +61,7 @@
 	if err = e.writeParts(ctx, current, parts); err != nil {
 		return Head{}, err
 	}
-	next := nextHead(current, parts, e.Name)
+	next := nextHead(current, parts, e.Name, store.EraOf(e.Store))
 	data, err := next.Encode()
 	if err != nil {
 		return Head{}, err
@@ -152,10 +154,19 @@
 	return plan.Join(data)
 }
 
-func nextHead(current Head, parts []plan.Part, editor string) Head {
+// firstVersion returns the version before the first one of an era. A store that was restored
+// lacks versions that instances have active: a later edit must be higher than all of them.
+func firstVersion(era store.Era) uint64 {
+	if era == 0 {
+		return 0
+	}
+	return uint64(era-1) * _versionsPerEra
+}
+
+func nextHead(current Head, parts []plan.Part, editor string, era store.Era) Head {
 	next := Head{
 		Edit: Edit{
-			Version: current.Version + 1,
+			Version: max(current.Version, firstVersion(era)) + 1,
 			ID:      rand.Text(),
 			Editor:  editor,
 			AtMs:    time.Now().UnixMilli(),
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -35,8 +35,18 @@
 	calls     atomic.Int64
 	writes    atomic.Int64
 
+	era atomic.Uint64
+
 	mu        sync.Mutex
 	behaviour Behaviour
+	// copies holds the content of the store after each of the latest writes.
+	copies []platformCopy
+}
+
+// platformCopy is the content of the store as of a time.
+type platformCopy struct {
+	at   time.Time
+	copy memory.Copy
 }
 
 // Listen starts serving on an address. Port 0 picks a free port.
@@ -48,6 +58,7 @@
 	p.kv = memory.New(time.Now)
 	p.directory = &directory.Directory{Lag: p.ListLag, Now: time.Now}
 	p.behaviour = Behaviour{Mode: OK}
+	p.era.Store(1)
 	p.listener = l
 	p.server = &http.Server{Handler: p.routes(), ReadHeaderTimeout: _readHeaderTimeout}
 	go func() { _ = p.server.Serve(l) }()
@@ -98,6 +109,7 @@
 			p.SetBehaviour(b)
 		}
 	})
+	mux.HandleFunc("POST /standin/restore", p.restore)
 	mux.HandleFunc("GET /standin/calls", func(w http.ResponseWriter, _ *http.Request) {
 		calls, writes := p.Calls()
 		writeJSON(w, struct {
@@ -127,10 +139,58 @@
 			time.Sleep(b.Delay())
 		case LoseReplies:
 			next(discardWriter{header: make(http.Header)}, r)
+			p.copy(r)
 			abort()
 		}
+		w.Header().Set(storehttp.EraHeader, strconv.FormatUint(p.era.Load(), 10))
 		next(w, r)
+		p.copy(r)
+	}
+}
+
+// copy keeps a copy of the content after a write.
+func (p *Platform) copy(r *http.Request) {
+	if r.Method == http.MethodGet {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := 0
+	for kept+1 < len(p.copies) && now.Sub(p.copies[kept+1].at) > _kvCopiedTime {
+		kept++
+	}
+	p.copies = append(p.copies[kept:], platformCopy{at: now, copy: p.kv.Copy()})
+}
+
+// Restore replaces the content of the store by a copy of a time before, and begins the next
+// era.
+func (p *Platform) Restore(age time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from, kept := memory.Copy{}, 0
+	for i, c := range p.copies {
+		if now.Sub(c.at) < age {
+			break
+		}
+		from, kept = c.copy, i+1
+	}
+	p.copies = p.copies[:kept]
+	p.era.Add(1)
+	p.kv.Restore(from)
+}
+
+// restore handles a request to restore the store.
+func (p *Platform) restore(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		AgeMs int64 `json:"ageMs"`
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, _maxRecordBytes)).Decode(&body); err != nil || body.AgeMs < 0 {
+		http.Error(w, "body must be {\"ageMs\": age of the copy in milliseconds}", http.StatusBadRequest)
+		return
 	}
+	p.Restore(time.Duration(body.AgeMs) * time.Millisecond)
 }
 
 // discardWriter is a response writer that discards the answer.
--- a/store/http/http.go
+++ b/store/http/http.go
@@ -34,6 +34,9 @@
 const (
 	// VersionHeader is the response header with the version of an entry.
 	VersionHeader = "Store-Version"
+	// EraHeader is the response header with the number of times that the store was
+	// restored from a copy, from 1. Stores that cannot be restored send none.
+	EraHeader = "Store-Era"
 
 	_callTimeout      = 3 * time.Second
 	_dialTimeout      = time.Second
@@ -53,6 +56,10 @@
 	calls   *metrics.Counter
 	failed  *metrics.Counter
 	refused *metrics.Counter
+	// restores counts the eras that began.
+	restores *metrics.Counter
+
+	era atomic.Uint32
 
 	mu      sync.Mutex
 	circuit retry.Circuit
@@ -70,9 +77,10 @@
 			MaxIdleConnsPerHost: _maxIdle,
 			DisableCompression:  true,
 		}},
-		calls:   metrics.GetOrCreateCounter("wigeonlock_store_calls_total"),
-		failed:  metrics.GetOrCreateCounter("wigeonlock_store_failures_total"),
-		refused: metrics.GetOrCreateCounter("wigeonlock_store_circuit_refusals_total"),
+		calls:    metrics.GetOrCreateCounter("wigeonlock_store_calls_total"),
+		failed:   metrics.GetOrCreateCounter("wigeonlock_store_failures_total"),
+		refused:  metrics.GetOrCreateCounter("wigeonlock_store_circuit_refusals_total"),
+		restores: metrics.GetOrCreateCounter("wigeonlock_store_restores_total"),
 		circuit: retry.Circuit{
 			Threshold: _circuitThreshold,
 			Backoff:   retry.Backoff{Base: _circuitBase, Max: _circuitMax},
@@ -97,6 +105,9 @@
 	if len(value) > store.MaxValueBytes {
 		return 0, store.ErrTooLarge
 	}
+	if s.outdated(expected) {
+		return 0, store.ErrConflict
+	}
 	query := url.Values{"version": {formatVersion(expected)}}
 	if lease != "" {
 		query.Set("lease", string(lease))
@@ -112,6 +123,9 @@
 
 // Delete removes a key if it still has the expected version.
 func (s *Store) Delete(ctx context.Context, key string, expected store.Version) error {
+	if s.outdated(expected) {
+		return store.ErrConflict
+	}
 	_, err := s.call(ctx, call{
 		method: http.MethodDelete, path: keyPath(key) + "?version=" + formatVersion(expected), write: true,
 	})
@@ -126,6 +140,9 @@
 func (s *Store) Watch(
 	ctx context.Context, key string, after store.Version, wait time.Duration,
 ) (store.Entry, error) {
+	if s.outdated(after) {
+		after = 0
+	}
 	path := "/v1/watch/" + url.PathEscape(key) +
 		"?after=" + formatVersion(after) + "&waitMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	r, err := s.call(ctx, call{method: http.MethodGet, path: path, wait: wait})
@@ -220,8 +237,37 @@
 	if err != nil {
 		return reply{}, failure(c, true)
 	}
+	era, current := s.observe(resp.Header)
+	if !current {
+		return reply{}, failure(c, true)
+	}
 	version, _ := strconv.ParseUint(resp.Header.Get(VersionHeader), 10, 64)
-	return reply{body: body, version: store.Version(version)}, statusError(c, resp.StatusCode)
+	return reply{body: body, version: store.VersionOf(era, version)}, statusError(c, resp.StatusCode)
+}
+
+// Era returns the latest era that the store has named.
+func (s *Store) Era() store.Era {
+	return store.Era(s.era.Load())
+}
+
+// outdated reports whether a version was given out before the store was restored.
+func (s *Store) outdated(v store.Version) bool {
+	return v != 0 && v.Era() != s.Era()
+}
+
+// observe records the era that an answer names and returns it, and false for an answer of an
+// earlier era.
+func (s *Store) observe(header http.Header) (era store.Era, current bool) {
+	named, err := strconv.ParseUint(header.Get(EraHeader), 10, 32)
+	if err != nil {
+		return s.Era(), true
+	}
+	for known := s.era.Load(); uint32(named) > known; known = s.era.Load() {
+		if s.era.CompareAndSwap(known, uint32(named)) && known > 0 {
+			s.restores.Inc()
+		}
+	}
+	return store.Era(named), uint32(named) == s.era.Load()
 }
 
 // failure returns the error of a call without a complete reply. sent is whether
@@ -278,5 +324,5 @@
 }
 
 func formatVersion(v store.Version) string {
-	return strconv.FormatUint(uint64(v), 10)
+	return strconv.FormatUint(v.Count(), 10)
 }
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -54,6 +54,44 @@
 	}
 }
 
+// Copy is the content of a store as of a time.
+type Copy struct {
+	entries map[string]entry
+	leases  map[store.Lease]lease
+	nextID  uint64
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	c := Copy{entries: make(map[string]entry), leases: make(map[store.Lease]lease), nextID: s.nextID}
+	for key, e := range s.entries {
+		c.entries[key] = *e
+	}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore replaces the content by a copy. Versions and leases that were given out since
+// are given out again; the leases in the copy run anew.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.leases, s.nextID = make(map[string]*entry), make(map[store.Lease]*lease), c.nextID
+	for key, e := range c.entries {
+		s.entries[key] = &e
+	}
+	for id, l := range c.leases {
+		l.expires = s.now().Add(l.ttl)
+		s.leases[id] = &l
+	}
+	s.notify()
+}
+
 // Get returns the entry of a key.
 func (s *Store) Get(_ context.Context, key string) (store.Entry, error) {
 	s.mu.Lock()
--- a/store/store.go
+++ b/store/store.go
@@ -38,9 +38,29 @@
 	ErrTooLarge = errors.New("value is too large")
 )
 
-// Version counts the writes of one key. Zero means that the key is absent.
+// Version counts the writes of one key. Zero means that the key is absent. As a restored
+// store gives out counts again, a version also holds the era, in the same way as a Revision.
 type Version uint64
 
+// VersionOf returns the version with a count in an era. A count of zero is version zero in
+// every era.
+func VersionOf(era Era, count uint64) Version {
+	if count == 0 {
+		return 0
+	}
+	return Version(RevisionOf(era, count))
+}
+
+// Era returns the era in which the version was given out, zero for version zero.
+func (v Version) Era() Era {
+	return Revision(v).Era()
+}
+
+// Count returns the version as the store counts it.
+func (v Version) Count() uint64 {
+	return Revision(v).Number()
+}
+
 // Lease identifies a lease. An entry with an empty lease is bound to none.
 type Lease string
 
@@ -50,7 +70,16 @@
 	Version Version
 }
 
-// Store is the platform's key-value service.
+// EraOf returns the latest era that a store has named, zero if it names none.
+func EraOf(s Store) Era {
+	if named, ok := s.(interface{ Era() Era }); ok {
+		return named.Era()
+	}
+	return 0
+}
+
+// Store is the platform's key-value service. A swap, deletion or lease of an earlier era
+// than the store's is refused as a conflict or as not found.
 type Store interface {
 	// Get returns the entry of a key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
