serve: shares of a cap are not raised until those lost by a restore have ended

Found while looking for the same cause elsewhere: the store loses that a holder has raised its share of a plan's cap. Others raise theirs from what the restored record leaves free, while its requests run: more than the cap. A holder itself ignored the record, as its version is lower.

Evidence: quota.TestRestoredRecordDoesNotExceedTheCap; without the wait, 4 slots were admitted beside the 4 in use, of 4.

Change: when the store names a later era, an instance begins a new session, and no share is raised for the time of a lease and the longest request. A holder that has waited notes the era in the record, so that others need not.

--- a/quota/holder.go
+++ b/quota/holder.go
@@ -2,8 +2,14 @@
 
 import (
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/wigeonlock/wigeonlock/store"
 )
 
+var _unsettled = metrics.NewCounter("wigeonlock_quota_raises_after_restore_refused_total")
+
 const (
 	// ReturnAfter is the time for which slots of a share must be unused before
 	// they are returned.
@@ -91,6 +97,10 @@
 	demand       int
 	leaving      bool
 	expired      map[string]time.Time
+	// era is the era of the store, and settledAt when no slot is occupied any more that
+	// was admitted in an earlier one.
+	era       store.Era
+	settledAt time.Time
 }
 
 // fence limits the usable share while a swap that lowers it may still be
@@ -132,6 +142,25 @@
 	h.recordKnown = false // the record must be read before requests are admitted under the new version
 }
 
+// EnterEra tells the holder the era of the store. The record of a restored store may lack
+// shares that are in use: it is not raised until the sessions of earlier eras have ended and
+// their requests too, unless another holder has waited for that.
+func (h *Holder) EnterEra(now time.Time, era store.Era) {
+	if era <= h.era {
+		return
+	}
+	h.era, h.settledAt = era, now
+	if era > 1 {
+		h.settledAt = now.Add(LeaseTTL + h.ReclaimDelay)
+	}
+	h.storeVersion, h.recordKnown, h.fence.active = 0, false, false
+}
+
+// isSettled reports whether a record holds all slots that may be occupied.
+func (h *Holder) isSettled(now time.Time, r Record) bool {
+	return h.era <= 1 || r.Era == uint32(h.era) || !now.Before(h.settledAt)
+}
+
 // Restart begins a new session after the old one expired. The old share is left
 // to be reclaimed. Requests still running count against the new share.
 func (h *Holder) Restart(session *Session) {
@@ -260,6 +289,9 @@
 	if next.Version < h.version {
 		next, changed = next.Rescaled(h.version, h.limit), true
 	}
+	if h.era > 1 && h.isSettled(now, next) && next.Era < uint32(h.era) {
+		next.Era, changed = uint32(h.era), true
+	}
 	if reclaimed, ok := h.reclaim(now, next); ok {
 		next, changed = reclaimed, true
 	}
@@ -279,6 +311,10 @@
 		return min(current, h.inUse)
 	}
 	need := max(h.Base, h.demand)
+	if need > current && !h.isSettled(now, r) {
+		_unsettled.Inc()
+		return current
+	}
 	if need > current {
 		free := max(r.Cap-r.Occupied(), 0)
 		raised := current + min(max(need-current, RaiseStep, current/2), free)
--- a/quota/holder_test.go
+++ b/quota/holder_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonlock/wigeonlock/quota"
+	platform "github.com/wigeonlock/wigeonlock/store"
 )
 
 const (
@@ -409,3 +410,58 @@
 	}
 	return used
 }
+
+// TestRestoredRecordDoesNotExceedTheCap restores the record to before a holder raised its share,
+// whose requests still run: no other holder may get these slots before they have ended, neither
+// one that lived through the restore nor one that starts after it.
+func TestRestoredRecordDoesNotExceedTheCap(t *testing.T) {
+	now := time.Unix(100, 0)
+	var entry storeEntry
+	era := platform.Era(1)
+	enter := func(holders ...*quota.Holder) {
+		for _, h := range holders {
+			h.EnterEra(now, era)
+		}
+	}
+	a, b := newHolder("a", now), newHolder("b", now)
+	enter(a, b)
+	for _, h := range []*quota.Holder{a, b} {
+		h.Configure(1, 4)
+		runSteps(now, h, &entry)
+	}
+	copied := entry
+	for range 4 {
+		for a.Admit(now, true) != quota.Admitted {
+			runSteps(now, a, &entry)
+		}
+	}
+	require.Equal(t, 4, a.InUse())
+
+	entry, era = copied, 2
+	entry.version++
+	started := newHolder("c", now)
+	started.Configure(1, 4)
+	enter(b, started)
+	admitted := func() int {
+		sum := 0
+		for _, h := range []*quota.Holder{b, started} {
+			h.Session.Renewed(now, _ttl)
+			_ = h.Admit(now, true)
+			runSteps(now, h, &entry)
+			for h.Admit(now, true) == quota.Admitted {
+				continue
+			}
+			sum += h.InUse()
+		}
+		return sum
+	}
+	end := now.Add(quota.LeaseTTL + _reclaimDelay)
+	for ; now.Before(end); now = now.Add(quota.RefreshInterval) {
+		assert.Zero(t, admitted(), "a may have 4 requests running, of 4")
+	}
+	now = now.Add(quota.RefreshInterval)
+	admitted()
+	now = now.Add(quota.RefreshInterval)
+	assert.Positive(t, admitted())
+	assert.LessOrEqual(t, admitted(), 4)
+}
--- a/quota/record.go
+++ b/quota/record.go
@@ -30,6 +30,9 @@
 type Record struct {
 	// Version is the version of the lists that set Cap.
 	Version uint64 `json:"version"`
+	// Era is the era of the store in which the shares are known to hold all slots that
+	// may be occupied; zero if the store was never restored.
+	Era uint32 `json:"era,omitempty"`
 	// Cap is in slots.
 	Cap int `json:"cap"`
 	// Shares are sorted by holder.
@@ -70,7 +73,7 @@
 // WithShare returns a copy of the record in which the share of the same holder
 // and session is replaced. An empty share is removed.
 func (r Record) WithShare(share Share) Record {
-	next := Record{Version: r.Version, Cap: r.Cap}
+	next := Record{Version: r.Version, Era: r.Era, Cap: r.Cap}
 	for _, s := range r.Shares {
 		if s.Holder != share.Holder || s.Session != share.Session {
 			next.Shares = append(next.Shares, s)
@@ -93,7 +96,7 @@
 // of the lists. If the cap is lower, shares shrink in proportion and the
 // difference is added to Draining.
 func (r Record) Rescaled(version uint64, limit int) Record {
-	next := Record{Version: version, Cap: limit, Shares: append([]Share(nil), r.Shares...)}
+	next := Record{Version: version, Era: r.Era, Cap: limit, Shares: append([]Share(nil), r.Shares...)}
 	if limit >= r.Cap {
 		return next
 	}
--- a/quota/service.go
+++ b/quota/service.go
@@ -57,6 +57,7 @@
 	mu      sync.Mutex
 	session *Session
 	lease   store.Lease
+	era     store.Era
 	holders map[string]*Holder
 	leaving bool
 }
@@ -209,6 +210,9 @@
 	err := s.Store.Renew(ctx, lease)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.session != session || store.EraOf(s.Store) != s.era {
+		return errors.New("session has ended")
+	}
 	if errors.Is(err, store.ErrNotFound) {
 		_expiredSessions.Inc()
 		s.lease = ""
@@ -246,12 +250,30 @@
 
 func (s *Service) stepHolders(ctx context.Context) error {
 	return kernel.Every(ctx, _stepInterval, func(time.Time) {
+		s.enterEra(time.Now())
 		for name, h := range s.snapshot() {
 			s.step(ctx, name, h)
 		}
 	})
 }
 
+// enterEra begins a new session when the store was restored: the lease of the old one may be
+// lost, or be that of another instance. Each holder is told the era.
+func (s *Service) enterEra(now time.Time) {
+	era := store.EraOf(s.Store)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holders {
+		h.EnterEra(now, era)
+	}
+	if era > s.era && s.era > 0 {
+		s.Log.Warn("store was restored from a copy, no share is raised for a while", zap.Uint32("era", uint32(era)))
+		s.lease = ""
+		s.startSession()
+	}
+	s.era = era
+}
+
 func (s *Service) snapshot() map[string]*Holder {
 	rank, members := s.Rank(time.Now())
 	s.mu.Lock()
