--- a/quota/holder_test.go
+++ b/quota/holder_test.go
@@ -216,6 +216,9 @@
 	limit   int
 	starts  int
 	delayed []quota.Step
+	// era is that of the store, and copied the record as of a time before.
+	era    platform.Era
+	copied storeEntry
 }
 
 // simHolder is one holder with the end times of its requests and of its lease.
@@ -226,6 +229,7 @@
 	paused       bool
 	crashed      bool
 	listsVersion uint64
+	era          platform.Era
 }
 
 const (
@@ -344,10 +348,26 @@
 	}
 }
 
+// restore restores the store from the copy.
+func (s *simulation) restore() {
+	s.era++
+	s.store = s.copied
+	s.store.version = uint64(platform.VersionOf(s.era, platform.Version(s.copied.version).Count()))
+}
+
 func (s *simulation) step(h *simHolder, fault string) {
 	if h.paused || h.crashed {
 		return
 	}
+	if h.era < s.era {
+		if h.era > 0 {
+			s.starts++
+			h.Restart(&quota.Session{ID: fmt.Sprintf("%s/%d", h.Name, s.starts), Margin: _margin})
+			h.lease = s.now.Add(_ttl)
+		}
+		h.EnterEra(s.now, s.era)
+		h.era = s.era
+	}
 	if s.now.Before(h.lease) {
 		h.lease = s.now.Add(_ttl)
 		h.Session.Renewed(s.now, _ttl)
@@ -465,3 +485,38 @@
 	assert.Positive(t, admitted())
 	assert.LessOrEqual(t, admitted(), 4)
 }
+
+// TestShiftCapAcrossRestores draws restores of the store beside the other faults. Sessions last
+// as long as leases do, so that their holders notice in time.
+func TestShiftCapAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &simulation{now: time.Unix(1000, 0), version: 1, limit: 6, era: 1}
+		for range 3 {
+			s.start()
+		}
+		for range rapid.IntRange(100, 400).Draw(t, "steps") {
+			s.now = s.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			s.endRequests()
+			h := s.holders[rapid.IntRange(0, len(s.holders)-1).Draw(t, "holder")]
+			switch rapid.IntRange(0, 24).Draw(t, "event") {
+			case 0:
+				s.copied = s.store
+			case 1:
+				if s.copied.version > 0 {
+					s.restore()
+				}
+			case 2:
+				h.paused = !h.paused
+			case 3:
+				s.crash(h)
+			case 4, 5, 6, 7, 8, 9, 10:
+				s.admit(h)
+			default:
+				s.step(h, rapid.SampledFrom([]string{"ok", "ok", "ok", "lost", "dropped"}).Draw(t, "fault"))
+			}
+			if used := s.inUse(); used > s.limit {
+				t.Fatalf("shiftCap: %d slots in use, the cap is %d", used, s.limit)
+			}
+		}
+	})
+}
