serve: claims of payments that a restored store lost are written again

Found while looking for the same cause elsewhere: the store loses the claim of a payment that ran; an attempt with the same key at another instance is granted, and the payment runs twice.

Evidence: payment.TestLostClaimIsNotGrantedAgain; without the wait the second attempt is granted.

Change: a shard that sees a later era adds what it knew to the restored record and writes it again; an outcome is recorded also if its claim was lost. For 6 s after an instance has noticed the era no claim is granted, unless the record says that another one has waited; refused attempts have not run. What only an instance knew that died meanwhile stays lost.

--- a/payment/record.go
+++ b/payment/record.go
@@ -94,6 +94,15 @@
 type Record struct {
 	claims map[Key]Claim
 	size   int
+	// era is the era of the store in which the record holds all claims that are known,
+	// zero if the store was never restored.
+	era store.Era
+}
+
+// recordBody is the stored form of a record.
+type recordBody struct {
+	Era    store.Era `json:"era,omitempty"`
+	Claims []Claim   `json:"claims"`
 }
 
 // DecodeRecord decodes the stored form of a record. Empty data gives an empty
@@ -103,12 +112,11 @@
 	if len(data) == 0 {
 		return r, nil
 	}
-	var body struct {
-		Claims []Claim `json:"claims"`
-	}
+	var body recordBody
 	if err := json.Unmarshal(data, &body); err != nil {
 		return nil, errors.Wrap(err, "decode claims")
 	}
+	r.era = body.Era
 	for _, c := range body.Claims {
 		r.claims[c.Key] = c
 	}
@@ -119,9 +127,7 @@
 // than Retention at the given time.
 func (r *Record) Encode(now time.Time) ([]byte, error) {
 	oldest := now.Add(-Retention).UnixMilli()
-	var body struct {
-		Claims []Claim `json:"claims"`
-	}
+	body := recordBody{Era: r.era}
 	for _, c := range r.claims {
 		if c.AtMs >= oldest {
 			body.Claims = append(body.Claims, c)
@@ -136,21 +142,26 @@
 }
 
 func (r *Record) clone() *Record {
-	next := &Record{claims: make(map[Key]Claim, len(r.claims)+1), size: r.size}
+	next := &Record{claims: make(map[Key]Claim, len(r.claims)+1), size: r.size, era: r.era}
 	for k, c := range r.claims {
 		next.claims[k] = c
 	}
 	return next
 }
 
-// claim claims a key for an attempt unless another attempt has claimed it.
-func (r *Record) claim(key Key, attempt string, now time.Time) Result {
+// claim claims a key for an attempt unless another attempt has claimed it. While the record is
+// not settled, another claim may have been lost: none is granted.
+func (r *Record) claim(key Key, attempt string, now time.Time, settled bool) Result {
 	if c, ok := r.claims[key]; ok {
 		if c.Attempt == attempt {
 			return Result{Kind: Granted}
 		}
 		return Result{Kind: Duplicate, Claim: c}
 	}
+	if !settled {
+		_unsettled.Inc()
+		return Result{Kind: Full}
+	}
 	if r.size > _maxRecordBytes {
 		return Result{Kind: Full}
 	}
@@ -158,9 +169,27 @@
 	return Result{Kind: Granted}
 }
 
-func (r *Record) finish(key Key, attempt string, o Outcome) {
+// add adds the claims of another record, and the outcomes that this one lacks. It returns the
+// number of claims that were changed.
+func (r *Record) add(other *Record) int {
+	changed := 0
+	for key, c := range other.claims {
+		if known, ok := r.claims[key]; ok && (known.State == Finished || c.State != Finished) {
+			continue
+		}
+		r.claims[key] = c
+		changed++
+	}
+	return changed
+}
+
+// finish records the outcome of an attempt, also if the store lost its claim.
+func (r *Record) finish(key Key, attempt string, o Outcome, now time.Time) {
 	c, ok := r.claims[key]
-	if !ok || c.Attempt != attempt {
+	switch {
+	case !ok:
+		c = Claim{Key: key, Attempt: attempt, AtMs: now.UnixMilli()}
+	case c.Attempt != attempt:
 		return
 	}
 	c.State = Finished
--- a/payment/service.go
+++ b/payment/service.go
@@ -24,7 +24,9 @@
 	// all shards together write at most 200 times a second.
 	WriteInterval = 80 * time.Millisecond
 
-	_keyPrefix         = "payments/"
+	_keyPrefix = "payments/"
+	// _eraInterval is how often the era of the store is checked.
+	_eraInterval       = 100 * time.Millisecond
 	_retryPause        = 50 * time.Millisecond
 	_forwardTimeout    = 500 * time.Millisecond
 	_backgroundTimeout = 30 * time.Second
@@ -74,9 +76,23 @@
 	for i := range s.shards {
 		s.shards[i] = &shardRunner{key: _keyPrefix + strconv.Itoa(i)}
 	}
+	s.enterEra(time.Now())
+	k.Go(ServiceName, func(ctx context.Context) error { return kernel.Every(ctx, _eraInterval, s.enterEra) })
 	return nil
 }
 
+// enterEra tells the shards the era of the store, and writes again what they know if it was
+// restored.
+func (s *Service) enterEra(now time.Time) {
+	era := store.EraOf(s.Store)
+	for _, r := range s.shards {
+		r.mu.Lock()
+		r.shard.EnterEra(now, era)
+		r.mu.Unlock()
+		s.run(r)
+	}
+}
+
 // Stop waits until all pending changes are stored or ctx ends.
 func (s *Service) Stop(ctx context.Context) error {
 	tick := time.NewTicker(_retryPause)
@@ -152,9 +168,16 @@
 // running.
 func (s *Service) enqueue(r *shardRunner, c Change, done func(Result)) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.shard.Add(c, done)
-	if r.running {
+	r.mu.Unlock()
+	s.run(r)
+}
+
+// run starts the loop of a shard if it has something to do and is not running.
+func (s *Service) run(r *shardRunner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running || !r.shard.Busy() {
 		return
 	}
 	r.running = true
--- a/payment/shard.go
+++ b/payment/shard.go
@@ -2,6 +2,10 @@
 
 import (
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/wigeonlock/wigeonlock/store"
 )
 
 // ResultKind is the kind of the result of a change.
@@ -64,6 +68,42 @@
 	recordFresh  bool
 	next         *Record
 	results      []Result
+
+	// era is the era of the store, and settledAt when all instances have written again
+	// what they know from earlier ones.
+	era       store.Era
+	settledAt time.Time
+	// known is the last record of an earlier era, until it is written again.
+	known *Record
+}
+
+// _settleTime is how long after a restore of the store no claims are granted: all instances
+// have noticed it by then, as each watches the lists, and written their claims again.
+const _settleTime = 6 * time.Second
+
+var (
+	_unsettled    = metrics.NewCounter("wigeonlock_payment_claims_after_restore_refused_total")
+	_writtenAgain = metrics.NewCounter("wigeonlock_payment_claims_written_again_total")
+)
+
+// EnterEra tells the shard the era of the store. What it knows of an earlier era is written
+// again, as the restored store may lack claims of payments that ran.
+func (s *Shard) EnterEra(now time.Time, era store.Era) {
+	if era <= s.era {
+		return
+	}
+	if s.era > 0 && s.record != nil {
+		s.known = s.record.clone()
+	}
+	s.era, s.settledAt, s.recordKnown = era, now, false
+	if era > 1 {
+		s.settledAt = now.Add(_settleTime)
+	}
+}
+
+// isSettled reports whether the record holds all claims that are known.
+func (s *Shard) isSettled(now time.Time) bool {
+	return s.era <= 1 || s.record.era == s.era || !now.Before(s.settledAt)
 }
 
 // Add adds a change. done, if not nil, is called with the result once the store
@@ -79,7 +119,7 @@
 		s.batch, s.pending = s.pending, nil
 		s.recordFresh = false
 	}
-	if len(s.batch) == 0 {
+	if len(s.batch) == 0 && s.known == nil {
 		return Step{Kind: Idle}, nil
 	}
 	if !s.recordKnown {
@@ -103,6 +143,12 @@
 	if err != nil {
 		return err
 	}
+	if s.isOutdated(storeVersion) {
+		return nil // it is read again
+	}
+	if s.known != nil {
+		_writtenAgain.Add(record.add(s.known))
+	}
 	s.record = record
 	s.storeVersion = storeVersion
 	s.recordKnown = true
@@ -114,11 +160,11 @@
 // or its reply was lost. The record is then read and the batch applied again; if
 // the swap was applied, the batch finds its own claims.
 func (s *Shard) SwapDone(value []byte, storeVersion uint64, ok bool) {
-	if !ok {
+	if !ok || s.isOutdated(storeVersion) {
 		s.recordKnown = false
 		return
 	}
-	s.record = s.next
+	s.record, s.known = s.next, nil
 	s.record.size = len(value)
 	s.storeVersion = storeVersion
 	batch, results := s.batch, s.results
@@ -130,21 +176,35 @@
 	}
 }
 
+// isOutdated reports whether the store gave out a version before it was restored.
+func (s *Shard) isOutdated(storeVersion uint64) bool {
+	return storeVersion != 0 && store.Version(storeVersion).Era() != s.era
+}
+
 // Waiting returns the number of operations that are not yet confirmed.
 func (s *Shard) Waiting() int {
 	return len(s.pending) + len(s.batch)
 }
 
+// Busy reports whether a store operation is needed.
+func (s *Shard) Busy() bool {
+	return s.Waiting() > 0 || s.known != nil
+}
+
 func (s *Shard) apply(now time.Time) {
 	s.next = s.record.clone()
+	settled := s.isSettled(now)
+	if settled && s.era > 1 {
+		s.next.era = s.era
+	}
 	s.results = make([]Result, len(s.batch))
 	for i, o := range s.batch {
 		s.results[i] = Result{Kind: Granted}
 		switch o.Kind {
 		case ToClaim:
-			s.results[i] = s.next.claim(o.Key, o.Attempt, now)
+			s.results[i] = s.next.claim(o.Key, o.Attempt, now, settled)
 		case ToFinish:
-			s.next.finish(o.Key, o.Attempt, o.Outcome)
+			s.next.finish(o.Key, o.Attempt, o.Outcome, now)
 		case ToRelease:
 			s.next.release(o.Key, o.Attempt)
 		}
--- a/payment/shard_test.go
+++ b/payment/shard_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonlock/wigeonlock/payment"
+	platform "github.com/wigeonlock/wigeonlock/store"
 )
 
 var _now = time.Unix(1_700_000_000, 0)
@@ -228,3 +229,125 @@
 		}
 	})
 }
+
+// restorable is the store of a shard that can be restored from a copy, with the time.
+type restorable struct {
+	value, copied        []byte
+	version, copiedCount uint64
+	era                  platform.Era
+	now                  time.Time
+}
+
+func (r *restorable) copy() {
+	r.copied, r.copiedCount = r.value, platform.Version(r.version).Count()
+}
+
+func (r *restorable) restore() {
+	r.era++
+	r.value, r.version = r.copied, uint64(platform.VersionOf(r.era, r.copiedCount))
+}
+
+// step makes one store operation of a shard, whose reply may be lost.
+func (r *restorable) step(t require.TestingT, s *payment.Shard, lost bool) payment.StepKind {
+	s.EnterEra(r.now, r.era)
+	step, err := s.Next(r.now)
+	require.NoError(t, err)
+	switch step.Kind {
+	case payment.Read:
+		require.NoError(t, s.ReadDone(r.value, r.version))
+	case payment.Swap:
+		applied := step.Expected == r.version
+		if applied {
+			r.value = step.Value
+			r.version = uint64(platform.VersionOf(r.era, platform.Version(r.version).Count()+1))
+		}
+		s.SwapDone(step.Value, r.version, applied && !lost)
+	case payment.Idle:
+	}
+	return step.Kind
+}
+
+func (r *restorable) run(t require.TestingT, s *payment.Shard) {
+	for r.step(t, s, false) != payment.Idle {
+		continue
+	}
+}
+
+func (r *restorable) claim(t require.TestingT, s *payment.Shard, key payment.Key, attempt string) payment.Result {
+	var got payment.Result
+	s.Add(payment.Change{Kind: payment.ToClaim, Key: key, Attempt: attempt}, func(res payment.Result) { got = res })
+	r.run(t, s)
+	return got
+}
+
+// TestLostClaimIsNotGrantedAgain restores the store to before a payment was claimed, which then
+// ran: neither an instance that lived through the restore nor one that starts after it grants it
+// to another attempt, and its outcome is known.
+func TestLostClaimIsNotGrantedAgain(t *testing.T) {
+	r := &restorable{era: 1, now: _now}
+	ran, other, started := &payment.Shard{}, &payment.Shard{}, &payment.Shard{}
+	require.Equal(t, payment.Granted, r.claim(t, other, "before", "zero").Kind)
+	r.copy()
+	require.Equal(t, payment.Granted, r.claim(t, ran, "k", "one").Kind)
+	r.restore()
+	for _, s := range []*payment.Shard{other, started} {
+		assert.Equal(t, payment.Full, r.claim(t, s, "k", "two").Kind, "nothing is claimed")
+	}
+	r.now = r.now.Add(2 * time.Second)
+	ran.Add(payment.Change{Kind: payment.ToFinish, Key: "k", Attempt: "one", Outcome: payment.Outcome{Status: 201}}, nil)
+	r.run(t, ran)
+	r.now = r.now.Add(10 * time.Second)
+	for _, s := range []*payment.Shard{other, started, {}} {
+		got := r.claim(t, s, "k", "two")
+		require.Equal(t, payment.Duplicate, got.Kind)
+		assert.Equal(t, 201, got.Claim.Status)
+	}
+	assert.Equal(t, payment.Granted, r.claim(t, &payment.Shard{}, "new", "three").Kind, "the record is settled for all")
+}
+
+// TestAtMostOnceAcrossRestores draws restores of the store, which all instances notice within two
+// seconds, beside lost replies. Instances do not crash: what only they know would be lost.
+func TestAtMostOnceAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &restorable{era: 1, now: _now}
+		shards := []*payment.Shard{{}, {}, {}}
+		granted := make(map[payment.Key]map[string]bool)
+		attempts := 0
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			r.now = r.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+			s := shards[rapid.IntRange(0, len(shards)-1).Draw(t, "instance")]
+			key := payment.Key(rapid.SampledFrom([]string{"k1", "k2", "k3", "k4"}).Draw(t, "key"))
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			case 0:
+				r.copy()
+			case 1:
+				if r.copiedCount == 0 {
+					continue
+				}
+				r.restore()
+				for _, noticed := range shards {
+					noticed.EnterEra(r.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "noticed ms"))*time.Millisecond), r.era)
+					r.step(t, noticed, false)
+					r.step(t, noticed, false)
+				}
+			case 2, 3, 4:
+				attempts++
+				attempt := fmt.Sprint(attempts)
+				s.Add(payment.Change{Kind: payment.ToClaim, Key: key, Attempt: attempt}, func(res payment.Result) {
+					if res.Kind != payment.Granted {
+						return
+					}
+					if granted[key] == nil {
+						granted[key] = make(map[string]bool)
+					}
+					granted[key][attempt] = true
+					if len(granted[key]) > 1 {
+						t.Fatalf("atMostOnce: attempts %v hold key %s", granted[key], key)
+					}
+				})
+			default:
+				r.step(t, s, rapid.IntRange(0, 4).Draw(t, "lost") == 0)
+			}
+		}
+	})
+}
--- a/store/http/http.go
+++ b/store/http/http.go
@@ -118,6 +118,10 @@
 	if err != nil {
 		return 0, errors.Wrapf(err, "swap %q", key)
 	}
+	if expected != 0 && r.version.Era() != expected.Era() {
+		// Since it was restored, the store has given out the expected count again.
+		return 0, errors.Wrapf(store.ErrUnknown, "swap %q", key)
+	}
 	return r.version, nil
 }
 
