--- a/soak/play/event.go
+++ b/soak/play/event.go
@@ -121,8 +121,8 @@
 }
 
 // storeOutage makes the store fail in a mode for a while, unless another outage is
-// in progress. recover is called before the store serves again.
-func (r *run) storeOutage(mode string, d time.Duration, recover func()) {
+// in progress. whenOver is called before the store serves again.
+func (r *run) storeOutage(mode string, d time.Duration, whenOver func()) {
 	r.mu.Lock()
 	if !isClosed(r.storeServes) {
 		r.mu.Unlock()
@@ -133,7 +133,7 @@
 	end := r.recordDisruption(check.Disruption{Cause: "store " + mode})
 	r.kv.SetMode(mode)
 	r.sleep(d)
-	recover()
+	whenOver()
 	r.kv.SetMode(standin.KVServes)
 	r.writeAgain()
 	end()
