--- a/soak/play/restore.go
+++ b/soak/play/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/wigeonlock/wigeonlock/soak/fault"
@@ -46,21 +45,21 @@
 	for _, h := range r.workerHosts {
 		if b, state, _ := h.current(); state != "" {
 			b.Register(r.kv, state)
-			alive["servers/"+b.ID] = true
+			alive[b.ID] = true
 		}
 	}
-	for _, key := range r.kv.Keys("servers/") {
-		if !alive[key] {
-			r.kv.Delete(key)
+	for _, id := range r.kv.Workers() {
+		if !alive[id] {
+			r.kv.RemoveWorker(id)
 		}
 	}
 	r.sleep(time.Duration(rand.Float64() * float64(_rewriteTime)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.writeConfiguration()
-	for _, key := range r.kv.Keys("op/evacuate/") {
-		if r.closed[strings.TrimPrefix(key, "op/evacuate/")] == 0 {
-			r.kv.Delete(key)
+	for _, zone := range r.kv.ClosedZones() {
+		if r.closed[zone] == 0 {
+			r.kv.Evacuate(zone, false)
 		}
 	}
 	for zone, n := range r.closed {
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -91,8 +92,26 @@
 	kv.Delete("op/evacuate/" + zone)
 }
 
+// ClosedZones returns the zones that the operator asked to close.
+func (kv *KV) ClosedZones() []string { return kv.names("op/evacuate/") }
+
+// Workers returns the IDs of the workers that have an entry.
+func (kv *KV) Workers() []string { return kv.names("servers/") }
+
+// names returns the keys with a prefix, without it.
+func (kv *KV) names(prefix string) []string {
+	names := kv.Keys(prefix)
+	for i, key := range names {
+		names[i] = strings.TrimPrefix(key, prefix)
+	}
+	return names
+}
+
+// RemoveWorker removes the entry of a worker.
+func (kv *KV) RemoveWorker(id string) { kv.Delete("servers/" + id) }
+
 // Unregister removes the worker's entry from the store.
-func (b *Backend) Unregister(kv *KV) { kv.Delete("servers/" + b.ID) }
+func (b *Backend) Unregister(kv *KV) { kv.RemoveWorker(b.ID) }
 
 // WriteHead writes the head of a caller's request, without the headers that
 // describe its body and without the empty line. limit is the caller's deadline.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -62,14 +62,8 @@
 	_followTime = 400 * time.Millisecond
 	// _refusedInterval is how often an instance that the store turns away tries to read.
 	_refusedInterval = 2 * time.Second
-	// _restoredWait and _restoredSpread are how long an instance waits, after the store was
-	// restored, for a neighbour to read it: all keys take a call for each page.
-	_restoredWait   = 2 * time.Second
-	_restoredSpread = 1500 * time.Millisecond
 	// _checkInterval is the time between checks of the age of the last read.
 	_checkInterval = 100 * time.Millisecond
-	// _maxLoggedKeys is the number of keys that are named after a restore.
-	_maxLoggedKeys = 10
 	// _subscriberQueue is the number of batches queued for one subscriber.
 	_subscriberQueue = 16
 )
@@ -301,6 +295,13 @@
 	return w.cache.ReadAt()
 }
 
+// Revision returns the revision up to which the store was read.
+func (w *Watcher) Revision() store.Revision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cache.Revision()
+}
+
 // outdated reports whether the last read is too old. The caller holds mu.
 func (w *Watcher) outdated(now time.Time) bool {
 	return now.Sub(w.cache.ReadAt()) > _maxReadAge
@@ -370,25 +371,6 @@
 	return nil
 }
 
-// awaitNeighbour reports whether this instance leaves it to a neighbour to read all keys of
-// a restored store. It does so once, for a while.
-func (w *Watcher) awaitNeighbour(now time.Time, isReader bool) bool {
-	w.recoveredAt, w.failures = now, 0
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if known := w.cache.Revision(); w.awaitedAt != known {
-		w.awaitedAt = known
-		w.awaitUntil = now.Add(_restoredWait + time.Duration(rand.Float64()*float64(_restoredSpread)))
-		// While the store was away, no neighbour had news.
-		w.selector.Reset()
-		if w.Peers != nil {
-			_, found := w.selector.Reader(now, w.Neighbours())
-			isReader = !found
-		}
-	}
-	return !isReader && now.Before(w.awaitUntil)
-}
-
 func (w *Watcher) read(ctx context.Context) (Batch, error) {
 	w.mu.Lock()
 	after := w.cache.Revision()
@@ -430,14 +412,6 @@
 	return w.recoveredAt.Add(_reappearTime)
 }
 
-// era returns the latest era that the store has named.
-func (w *Watcher) era() store.Era {
-	if w.Era == nil {
-		return 0
-	}
-	return w.Era()
-}
-
 // apply applies a batch and forwards the changes that neighbours need.
 func (w *Watcher) apply(now time.Time, b Batch, tentativeUntil time.Time) {
 	w.mu.Lock()
@@ -464,52 +438,6 @@
 	w.forward(forwarded)
 }
 
-// restored logs what a restore of the store undid, and returns what is retained. The
-// caller holds mu.
-func (w *Watcher) restored(before store.Revision, b Batch, changes []Change) []Change {
-	lost := 0
-	for _, c := range changes {
-		if c.Deleted {
-			lost++
-		}
-	}
-	retained := w.cache.Retained()
-	keys := make([]string, 0, _maxLoggedKeys)
-	for _, c := range retained[:min(len(retained), _maxLoggedKeys)] {
-		keys = append(keys, c.Key)
-	}
-	_lost.Add(lost)
-	_retained.Add(len(retained))
-	w.Log.Warn("keys of the restored store are known", zap.Stringer("revision", b.Revision), zap.Stringer("knownRevision", before),
-		zap.Bool("snapshot", b.Full), zap.Int("changed", len(changes)-lost), zap.Int("lost", lost),
-		zap.Int("retained", len(retained)), zap.Strings("retainedKeys", keys))
-	return retained
-}
-
-// expire deletes the keys that a restored store lost and that were not written again.
-func (w *Watcher) expire(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, c := range w.cache.Expire(now) {
-		_expired.Inc()
-		w.Log.Warn("lost key was not written again", zap.String("key", c.Key))
-		w.deliver(now, c)
-	}
-}
-
-// forward sends a batch to the subscribers. The caller holds mu.
-func (w *Watcher) forward(forwarded Batch) {
-	for subscriber := range w.subscribers {
-		select {
-		case subscriber <- forwarded:
-		default:
-			// A subscriber that does not keep up has to subscribe again.
-			delete(w.subscribers, subscriber)
-			close(subscriber)
-		}
-	}
-}
-
 // deliver passes a change to the sink and reports whether neighbours need it. A key whose
 // value makes the sink panic is left out, as one that cannot be decoded.
 func (w *Watcher) deliver(now time.Time, c Change) (needed bool) {
@@ -528,46 +456,3 @@
 	}
 	return needed
 }
-
-// Revision returns the revision up to which the store was read.
-func (w *Watcher) Revision() store.Revision {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.cache.Revision()
-}
-
-// closeSubscribers ends all subscriptions. The caller holds mu.
-func (w *Watcher) closeSubscribers() {
-	for subscriber := range w.subscribers {
-		delete(w.subscribers, subscriber)
-		close(subscriber)
-	}
-}
-
-// Subscribe returns the changes since a revision and a channel of the batches
-// read from then on. The channel is closed when the subscriber does not keep up, or
-// the store turns this instance away; the caller calls end to unsubscribe. It returns
-// ErrBehind if not all changes since the revision are known, and ErrRefused if the store
-// turns this instance away: it then follows an instance that comes after it in the order,
-// which in turn must not follow this one.
-func (w *Watcher) Subscribe(after store.Revision) (missed Batch, batches <-chan Batch, end func(), err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.selector.Refused {
-		return Batch{}, nil, nil, ErrRefused
-	}
-	missed, err = w.cache.Since(after)
-	if err != nil {
-		return Batch{}, nil, nil, err
-	}
-	if w.subscribers == nil {
-		w.subscribers = make(map[chan Batch]struct{})
-	}
-	subscriber := make(chan Batch, _subscriberQueue)
-	w.subscribers[subscriber] = struct{}{}
-	return missed, subscriber, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		delete(w.subscribers, subscriber)
-	}, nil
-}
