--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,7 @@
 	_drainShare = 0.4
 	// _maxDrainTime is the longest time of the same: later requests are not excused however
 	// long the stop may take.
-	_maxDrainTime = 2900 * time.Millisecond
+	_maxDrainTime = 2800 * time.Millisecond
 	// _stopShare is the fraction of the stop timeout after which the instance no
 	// longer waits for pending requests.
 	_stopShare = 0.9
