--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -155,6 +155,7 @@
 	restoredTo(kv, func() {
 		instances = []*instance{startInstance(t, kv, "edge-1", "a"), startInstance(t, kv, "edge-2", "b")}
 		for _, i := range instances {
+			require.Eventually(t, i.ready, _waitTimeout, _pollInterval)
 			require.Eventually(t, func() bool { return len(i.addresses(t)) == 2 }, _waitTimeout, _pollInterval)
 		}
 	})
