--- a/watch/restored_test.go
+++ b/watch/restored_test.go
@@ -385,3 +385,35 @@
 	f.configure("13")
 	require.Eventually(t, r.active("13"), 2500*time.Millisecond, 20*time.Millisecond)
 }
+
+// TestStartInTheGapAsksBeforeItUsesTheStore starts an instance that callers are sent to: it must
+// have asked a neighbour before it uses what the restored store has.
+func TestStartInTheGapAsksBeforeItUsesTheStore(t *testing.T) {
+	f := newRestorable()
+	f.configure("8")
+	r := newRegion(f, 2)
+	run(t, r.watcher(r.all[0].Name))
+	require.Eventually(t, r.active("8"), _waitTimeout, 20*time.Millisecond)
+	f.copy()
+	f.configure("11")
+	require.Eventually(t, r.active("11"), _waitTimeout, 20*time.Millisecond)
+	f.restore()
+	require.Eventually(t, func() bool { return r.peers.watchers[r.all[0].Name].Revision().Era() == 2 }, _waitTimeout, 20*time.Millisecond)
+
+	started := r.watcher(r.all[1].Name)
+	started.Start = func(context.Context) (watch.Start, error) { return watch.Start{Candidates: r.all[:1]}, nil }
+	own := &peers{watchers: r.peers.watchers, silent: map[string]bool{}}
+	started.Peers = own
+	asked := make(chan int, 1)
+	r.sinks[r.all[1].Name].onDone = func() {
+		own.mu.Lock()
+		defer own.mu.Unlock()
+		select {
+		case asked <- own.follows:
+		default:
+		}
+	}
+	run(t, started)
+	assert.Positive(t, <-asked, "neighbours asked before the first read takes effect")
+	require.Eventually(t, r.active("11"), _waitTimeout, 5*time.Millisecond)
+}
