--- a/watch/restored_test.go
+++ b/watch/restored_test.go
@@ -404,6 +404,7 @@
 	started.Start = func(context.Context) (watch.Start, error) { return watch.Start{Candidates: r.all[:1]}, nil }
 	own := &peers{watchers: r.peers.watchers, silent: map[string]bool{}}
 	started.Peers = own
+	started.Neighbours = func() []watch.Neighbour { return r.all[1:] } // none is known before the first read
 	asked := make(chan int, 1)
 	r.sinks[r.all[1].Name].onDone = func() {
 		own.mu.Lock()
