--- a/quota/restored_test.go
+++ b/quota/restored_test.go
@@ -71,7 +71,7 @@
 // as long as leases do, so that their holders notice in time.
 func TestShiftCapAcrossRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{now: time.Unix(1000, 0), version: 1, limit: 6, era: 1}
+		s := &simulation{now: time.Unix(1000, 0), version: 1, limit: 2, era: 1}
 		for range 3 {
 			s.start()
 		}
