--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -63,10 +63,14 @@
 	return list
 }
 
-// sendLoad has a caller at each instance send requests for many objects until stop is
+// sendLoad has a caller at each instance send requests for 40 objects until stop is
 // closed. It returns the number of answers by status.
 func sendLoad(instances []*instance, pause time.Duration, stop <-chan struct{}) map[int]int {
-	const objects = 40
+	return sendLoadOf(instances, 40, pause, stop)
+}
+
+// sendLoadOf is sendLoad for a number of objects.
+func sendLoadOf(instances []*instance, objects int, pause time.Duration, stop <-chan struct{}) map[int]int {
 	var (
 		mu       sync.Mutex
 		statuses = make(map[int]int)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -62,8 +62,11 @@
 	Ended   time.Time
 	// ServiceTime is the time that the request takes if it is not cancelled.
 	ServiceTime time.Duration
-	// LimitNamed is set if the answer named a limit.
-	LimitNamed bool
+	// LimitNamed is set if the answer named a limit, SaidLeaving if it said that the worker
+	// leaves. RestAsked is the pause that a refusal asked for.
+	LimitNamed  bool
+	SaidLeaving bool
+	RestAsked   time.Duration
 	// Misdirected is set if the request was meant for another worker. Fault is the
 	// fault injected into the answer, or empty.
 	Misdirected bool
@@ -101,6 +104,11 @@
 	faultShare float64
 	// limit is the number of requests per second that the answers name, nil for none.
 	limit *float64
+	// leaving is set while answers say that the worker leaves, rest is the pause that it
+	// asks for when it refuses a request, and restsUntil is until when it refuses all.
+	leaving    bool
+	rest       time.Duration
+	restsUntil time.Time
 }
 
 // Listen starts serving on a free loopback address.
@@ -138,6 +146,28 @@
 	b.limit = perSecond
 }
 
+// SayLeaving makes all answers say that the worker leaves. Its entry does not change.
+func (b *Backend) SayLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
+}
+
+// Restart begins a new incarnation of the worker, at the same address.
+func (b *Backend) Restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.started, b.sequence, b.leaving, b.rest = time.Now(), 0, false, 0
+}
+
+// RefuseAndAskForRest refuses all requests of the next refuseFor, and asks each instance that
+// it refuses to send nothing for rest.
+func (b *Backend) RefuseAndAskForRest(refuseFor, rest time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rest, b.restsUntil = rest, time.Now().Add(refuseFor)
+}
+
 // MarkCold makes the worker cold for a duration that begins after a delay. The
 // worker's entry announces it from the next Register on.
 func (b *Backend) MarkCold(delay, duration time.Duration) {
@@ -212,7 +242,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if v.Fault == FaultShed || !b.acquireSlot(r) {
+	if b.askForRest(w, v) || v.Fault == FaultShed || !b.acquireSlot(r) {
 		b.setLoadHeaders(w, v)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -223,6 +253,18 @@
 	b.answer(w, r, v)
 }
 
+// askForRest adds the pause to a refusal, and reports whether the request has to be refused.
+func (b *Backend) askForRest(w http.ResponseWriter, v *Visit) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.rest == 0 || time.Now().After(b.restsUntil) {
+		return false
+	}
+	v.RestAsked = b.rest
+	w.Header().Set("Retry-After", strconv.FormatFloat(b.rest.Seconds(), 'f', -1, 64))
+	return true
+}
+
 // recordArrival records a request and picks the fault to inject into its answer.
 func (b *Backend) recordArrival(id string, r *http.Request, body uint64) *Visit {
 	b.mu.Lock()
@@ -297,12 +339,15 @@
 }
 
 // setLoadHeaders adds the load report, which is busy slots, waiting requests and all
-// slots, and the limit.
+// slots, the limit, and whether the worker leaves.
 func (b *Backend) setLoadHeaders(w http.ResponseWriter, v *Visit) {
 	b.mu.Lock()
 	waiting, limit := b.waiting, b.limit
-	v.LimitNamed = limit != nil
+	v.LimitNamed, v.SaidLeaving = limit != nil, b.leaving
 	b.mu.Unlock()
+	if v.SaidLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", len(b.slots), waiting, b.Slots))
 	if limit != nil {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(*limit, 'f', -1, 64))
