Observability: failed attempts name route, object and content of the request

Seen: a request that ends its workers is sent on and on (BUDGET); the lines of failed attempts did not tell which requests are the same, since callers repeat them with new IDs.

Logic unchanged.

--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -115,7 +115,8 @@
 	if r.Fault == exchange.None || r.Fault == exchange.CallerDisconnected {
 		return
 	}
-	s.Log.Info("attempt failed", zap.String("request", rs.request.ID), zap.String("worker", target.ID),
+	s.Log.Info("attempt failed", zap.String("request", rs.request.ID), zap.String("route", rs.route.Name),
+		zap.String("object", rs.request.Object), zap.Stringer("content", contentOf(rs.request)), zap.String("worker", target.ID),
 		zap.String("address", target.Address), zap.String("fault", string(r.Fault)),
 		zap.Bool("reused", r.Reused), zap.Duration("tookMs", r.Took), zap.Float64("load", rs.choice.Load),
 		zap.Int("rank", rs.choice.Rank), zap.Duration("newsAgeMs", rs.updateAge))
