A worker that says in an answer that it leaves gets no more requests (DRAIN)

Seen: callers' requests reached a worker after an answer had told the instance that the worker leaves, at the same rate as before (92 in 5 s).

Cause: only the worker's entry in the store decided whether it is usable. No header of an answer was read for that, so news that comes sooner than the entry, or while the store is away or was restored, had no effect.

The head of each answer is read now, also of refusals, failures, answers that break off and those whose caller left. The news belongs to the incarnation that said it: heartbeats, a removal and return, and a restored store do not take it back, only another start of the worker does. The other serving instances of the region are told, also when they start. A target is checked once more when its connection stands.

TestNeighboursUseAWorkerThatSaidItLeaves has the store away and an instance that starts late.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -51,6 +51,10 @@
 		}
 		connect = time.Since(started)
 	}
+	if t.Withdrawn != nil && t.Withdrawn() {
+		c.close()
+		return Result{Answer: relay.NotRun(relay.WorkerRefused), Fault: Withdrawn, Took: time.Since(started), Connect: connect}
+	}
 	result := p.exchange(ctx, c, t, r)
 	result.Took, result.Connect = time.Since(started), connect
 	return result
@@ -184,7 +188,7 @@
 // requests before it.
 func (p *Pool) receive(c *conn, r *relay.Request, result *Result) error {
 	for range _maxStray + 1 {
-		answer, err := p.readReply(c, r)
+		answer, err := p.readReply(c, r, result)
 		if err != nil {
 			return err
 		}
@@ -200,8 +204,9 @@
 	return errStray
 }
 
-// readReply reads one complete answer. Interim (1xx) answers are skipped.
-func (p *Pool) readReply(c *conn, r *relay.Request) (*reply, error) {
+// readReply reads one complete answer. Interim (1xx) answers are skipped. What the head says
+// of the worker is recorded in result, also if the body breaks off.
+func (p *Pool) readReply(c *conn, r *relay.Request, result *Result) (*reply, error) {
 	c.limit.left = _maxHead
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -211,6 +216,7 @@
 		if err != nil {
 			return nil, err
 		}
+		p.recordHead(c, resp, r, result)
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -78,6 +78,10 @@
 	// Limit is the number of requests per second that a worker takes from all
 	// instances together.
 	Limit string
+	// Leaving is "1" in the answers of a worker that leaves.
+	Leaving string
+	// Rest is the pause that a worker asks this instance for when it refuses a request.
+	Rest string
 }
 
 // Target is the ID and the host:port address of a worker.
@@ -87,6 +91,9 @@
 	// MaxIdle is the number of idle connections to the worker that are kept, or NoIdle.
 	// 0 means _maxIdleConns, which is also the largest number.
 	MaxIdle int
+	// Withdrawn, if set, is called when there is a connection. If it returns true, nothing
+	// is sent: what the worker said meanwhile rules it out.
+	Withdrawn func() bool
 }
 
 // NoIdle is a MaxIdle by which no idle connection is kept.
@@ -131,6 +138,8 @@
 	Misdirected Fault = "misdirected"
 	// Refused means that the worker declined to run the request.
 	Refused Fault = "refused"
+	// Withdrawn means that the target was withdrawn before the request was sent.
+	Withdrawn Fault = "withdrawn"
 )
 
 // Result is the result of an exchange.
@@ -148,6 +157,10 @@
 	// Limit is the number of requests per second that the worker takes from all
 	// instances together, or nil if its answer names none.
 	Limit *float64
+	// Leaving is set if the worker said that it leaves, also in an answer that broke off.
+	Leaving bool
+	// Rest is how long the worker wants no requests from this instance, or zero.
+	Rest time.Duration
 	// SentAt is when the request was written.
 	SentAt time.Time
 	// Took is the duration of the exchange, including the dial.
@@ -194,6 +207,7 @@
 	_strays     = metrics.NewCounter("wigeonlock_stray_answers_total")
 	// _unnamedRefusals counts refusals that may be copies of earlier ones.
 	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
+	_badRests        = metrics.NewCounter("wigeonlock_unusable_rests_total")
 	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
 	_surpluses       = metrics.NewCounter("wigeonlock_surplus_bytes_total")
 )
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -62,7 +62,17 @@
 		s.budget(rs.service).RecordFirst(now)
 	}
 	s.placer.Begin(now, request, c.Worker)
-	return exchange.Target{ID: c.Worker.ID, Address: c.Worker.Address, MaxIdle: s.maxIdle(c.Worker)}, "", nil
+	return exchange.Target{
+		ID: c.Worker.ID, Address: c.Worker.Address, MaxIdle: s.maxIdle(c.Worker), Withdrawn: func() bool { return s.isWithdrawn(c.Worker) },
+	}, "", nil
+}
+
+// isWithdrawn reports whether a worker left since it was chosen.
+func (s *Service) isWithdrawn(w *worker.Worker) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !w.Usable(now)
 }
 
 // object identifies what the request concerns. Objects of different routes are
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,6 +98,9 @@
 	// Moved, if set, is called when an object moves to another worker. It must not
 	// block.
 	Moved func(m placement.Move)
+	// Left, if set, is called when an incarnation of a worker said in an answer to this
+	// instance that it leaves. It must not block.
+	Left func(l worker.Leaving)
 
 	// Permits keeps the limits that workers name. If it is nil, Prepare sets one of an
 	// instance that is alone.
@@ -398,7 +401,13 @@
 	s.mu.Lock()
 	s.placer.End(time.Now(), rs.choice.Worker, report)
 	s.recordLimit(rs, result)
+	if result.Leaving {
+		s.recordLeaving(rs)
+	}
 	s.mu.Unlock()
+	if result.Leaving {
+		s.Exchange.CloseIdle(target.Address)
+	}
 	s.logAttempt(rs, target, result)
 }
 
@@ -422,6 +431,8 @@
 		report.Outcome = placement.Shed
 	case exchange.CallerDisconnected:
 		report.Outcome = placement.CallerDisconnected
+	case exchange.Withdrawn:
+		report.Outcome = placement.Withdrawn
 	default:
 		report.Outcome = placement.Failed
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,8 +109,10 @@
 		return g.servingNeighbours(func(m directory.Member) string { return m.Permits })
 	}
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Permits: permits,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
+		Permits: permits,
 	}
+	g.permitfeed.Workers = g.forward
 	g.movefeed.Listen = s.Peers.Listen
 	g.movefeed.Neighbours = func() []string {
 		return g.servingNeighbours(func(m directory.Member) string { return m.Peers })
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -120,3 +120,39 @@
 		})
 	}
 }
+
+// TestNeighboursUseAWorkerThatSaidItLeaves has one instance hear that a worker leaves: the
+// other one, and one that starts later, send nothing to the worker.
+func TestNeighboursUseAWorkerThatSaidItLeaves(t *testing.T) {
+	kv := standin.NewKV()
+	defer kv.Close()
+	workers := startBackends(t, kv, "s1", 2)
+	kv.Write("op/config", configOf(5, "s1"))
+	instances := startFleet(t, kv, 2)
+	workers[0].SayLeaving()
+	stop := make(chan struct{})
+	done := make(chan map[int]int, 1)
+	go func() { done <- sendLoadOf(instances[:1], 4000, 10*time.Millisecond, stop) }()
+	require.Eventually(t, func() bool { return len(workers[0].Visits()) > 0 }, _waitTimeout, _pollInterval)
+	time.Sleep(200 * time.Millisecond)
+	close(stop)
+	<-done
+	kv.SetMode(standin.KVReset)
+	before := len(workers[0].Visits())
+	for n := range 40 {
+		status, _, err := instances[1].get(fmt.Sprintf("/r/%d/64", n))
+		require.NoError(t, err)
+		assert.Equal(t, 200, status)
+	}
+	kv.SetMode(standin.KVServes)
+	late := startInstance(t, kv, "edge-9", "a")
+	require.Eventually(t, func() bool { return late.ready() && len(late.addresses(t)) == 3 }, _waitTimeout, _pollInterval)
+	// An instance that starts asks its neighbours within half a second.
+	time.Sleep(500 * time.Millisecond)
+	for n := range 40 {
+		status, _, err := late.get(fmt.Sprintf("/r/%d/64", n))
+		require.NoError(t, err)
+		assert.Equal(t, 200, status)
+	}
+	assert.Len(t, workers[0].Visits(), before)
+}
--- a/permit/message.go
+++ b/permit/message.go
@@ -3,10 +3,16 @@
 import (
 	"encoding/json"
 	"time"
+
+	"github.com/wigeonlock/wigeonlock/worker"
 )
 
-// Message is what instances send each other. Exactly one of Ask, Reply, Limits and Hello is
-// set.
+// MaxLeaving is the number of leaving workers in one message: about 1200 bytes, so that it
+// needs no fragments.
+const MaxLeaving = 16
+
+// Message is what instances send each other. Exactly one of Ask, Reply, Limits, Hello and
+// Leaving is set.
 type Message struct {
 	From string `json:"from"`
 	// Number identifies a question; its answer repeats it. 0 expects no answer but that
@@ -17,6 +23,8 @@
 	Limits []Notice `json:"limits,omitempty"`
 	// Hello asks for all known limits.
 	Hello bool `json:"hello,omitempty"`
+	// Leaving are workers that said that they leave, which get no permits any more.
+	Leaving []worker.Leaving `json:"leaving,omitempty"`
 }
 
 // Notice is what an instance knows of the limit of a worker.
@@ -53,7 +61,7 @@
 
 // Decode decodes a message. ok is false if it is malformed.
 func Decode(data []byte) (m Message, ok bool) {
-	if json.Unmarshal(data, &m) != nil || m.From == "" || len(m.Limits) > _maxNotices {
+	if json.Unmarshal(data, &m) != nil || m.From == "" || len(m.Limits) > _maxNotices || len(m.Leaving) > MaxLeaving {
 		return Message{}, false
 	}
 	for _, n := range m.Limits {
@@ -61,6 +69,11 @@
 			return Message{}, false
 		}
 	}
+	for _, l := range m.Leaving {
+		if l.Worker == "" || l.Born <= 0 || l.AgeMs < 0 {
+			return Message{}, false
+		}
+	}
 	switch {
 	case m.Ask != nil:
 		return m, m.Ask.valid() && m.Ask.Want >= 0 && m.Ask.Demand >= 0
--- a/permitfeed/permitfeed.go
+++ b/permitfeed/permitfeed.go
@@ -1,5 +1,5 @@
 // Package permitfeed carries the questions for permits and their answers between instances,
-// as datagrams.
+// as datagrams, and the news which workers said that they leave.
 //
 // Nothing is repeated: an answer that is lost costs a permit, and the requests that wait for
 // it go to other workers. An instance that starts asks its neighbours for all limits that
@@ -25,6 +25,7 @@
 	"github.com/wigeonlock/wigeonlock/datagram"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/permit"
+	"github.com/wigeonlock/wigeonlock/worker"
 )
 
 const (
@@ -45,7 +46,9 @@
 	// Neighbours returns the addresses of the other instances of the region that serve
 	// callers.
 	Neighbours func() []string
-	Log        *zap.Logger
+	// Workers is told which workers said that they leave.
+	Workers Workers
+	Log     *zap.Logger
 
 	queue chan envelope
 	// answered is closed once a neighbour has told its limits.
@@ -53,6 +56,15 @@
 	heard    bool
 }
 
+// Workers holds the workers that said that they leave.
+type Workers interface {
+	// SaidLeaving returns them, at most limit.
+	SaidLeaving(limit int) []worker.Leaving
+	// AdoptLeaving records what an instance was told by a worker.
+	AdoptLeaving(from string, l worker.Leaving)
+}
+
+// envelope is a message to an instance, or to all neighbours if to is empty.
 type envelope struct {
 	to      string
 	message permit.Message
@@ -79,6 +91,11 @@
 	}
 }
 
+// TellLeaving queues for all neighbours that a worker leaves. It does not block.
+func (f *Feed) TellLeaving(l worker.Leaving) {
+	f.Send("", permit.Message{From: f.Book.Self, Leaving: []worker.Leaving{l}})
+}
+
 // Run sends and receives messages until ctx ends and returns nil. Without a socket it only
 // logs: the instance then gets no permits of others, and sends nothing to workers with a
 // limit.
@@ -102,10 +119,19 @@
 		return
 	}
 	_received.Inc()
+	if len(m.Leaving) > 0 {
+		f.adopt(m)
+		return
+	}
 	var answers []permit.Message
 	if err := kernel.Guard(func() error { answers = f.Book.Receive(time.Now(), m); return nil }); err != nil {
 		f.Log.Error("permit message panicked", zap.Error(err))
 	}
+	if m.Hello && f.Workers != nil {
+		if leaving := f.Workers.SaidLeaving(permit.MaxLeaving); len(leaving) > 0 {
+			answers = append(answers, permit.Message{From: f.Book.Self, Leaving: leaving})
+		}
+	}
 	for _, a := range answers {
 		write(conn, from, a)
 	}
@@ -115,6 +141,16 @@
 	}
 }
 
+// adopt records the workers that leave, as a message says.
+func (f *Feed) adopt(m permit.Message) {
+	if f.Workers == nil {
+		return
+	}
+	for _, l := range m.Leaving {
+		f.Workers.AdoptLeaving(m.From, l)
+	}
+}
+
 // send sends the queued messages, and asks the neighbours for their limits until one
 // answered.
 func (f *Feed) send(ctx context.Context, conn *net.UDPConn) {
@@ -137,7 +173,13 @@
 				writeTo(conn, neighbour, permit.Message{From: f.Book.Self, Hello: true})
 			}
 		case e := <-f.queue:
-			writeTo(conn, e.to, e.message)
+			recipients := []string{e.to}
+			if e.to == "" {
+				recipients = f.Neighbours()
+			}
+			for _, to := range recipients {
+				writeTo(conn, to, e.message)
+			}
 		}
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -154,6 +154,8 @@
 	Unreachable Outcome = "unreachable"
 	// Broken means that the connection ended before the answer was complete.
 	Broken Outcome = "broken"
+	// Withdrawn means that nothing was sent, as the worker was ruled out before.
+	Withdrawn Outcome = "withdrawn"
 	// ClosedIdle means that the worker closed an idle connection early.
 	ClosedIdle Outcome = "hungUp"
 )
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -66,11 +66,23 @@
 	ExpiresAt time.Time
 	// Removed is set once the entry is finally removed.
 	Removed bool
+	// SaidLeavingAt is when this incarnation said in an answer that it leaves, whatever its
+	// entry says, or zero.
+	SaidLeavingAt time.Time
+}
+
+// Leaving names an incarnation of a worker that said in an answer that it leaves.
+type Leaving struct {
+	Worker string `json:"worker"`
+	// Born is the start of the incarnation in Unix milliseconds.
+	Born int64 `json:"born"`
+	// AgeMs is how long ago it said so.
+	AgeMs int64 `json:"ageMs"`
 }
 
 // Usable reports whether the worker may get new requests.
 func (w *Worker) Usable(now time.Time) bool {
-	return !w.Removed && !w.Leaving && (w.ExpiresAt.IsZero() || now.Before(w.ExpiresAt))
+	return !w.Removed && !w.Leaving && w.SaidLeavingAt.IsZero() && (w.ExpiresAt.IsZero() || now.Before(w.ExpiresAt))
 }
 
 // precedes reports whether an entry of another era of the store is newer than the known
@@ -156,19 +168,29 @@
 	if w != nil && w.Born != 0 && (e.Born < w.Born || e.Born == w.Born && e.Heartbeat < w.Heartbeat) {
 		return false
 	}
-	if w == nil || w.Born != e.Born || w.Address != e.Address || w.Service != e.Service {
+	if w == nil || !w.isIncarnationOf(e) || w.Address != e.Address || w.Service != e.Service {
 		r.start(now, w, e, revision)
 		return true
 	}
 	return r.update(now, w, e, revision)
 }
 
-// start replaces the state of a worker by that of a new incarnation.
+// isIncarnationOf reports whether an entry is of the known incarnation of its worker. Without
+// the time of its start, a count of entries that begins anew tells the next one.
+func (w *Worker) isIncarnationOf(e Entry) bool {
+	return w.Born == e.Born && (e.Born != 0 || e.Heartbeat >= w.Heartbeat)
+}
+
+// start replaces the state of a worker by that of a new incarnation, or of the same one at
+// another address.
 func (r *Registry) start(now time.Time, old *Worker, e Entry, revision store.Revision) {
+	w := &Worker{Entry: e, Revision: revision, LastUpdate: now, ColdUntil: now.Add(e.ColdLeft)}
 	if old != nil {
+		if old.isIncarnationOf(e) {
+			w.SaidLeavingAt = old.SaidLeavingAt
+		}
 		r.remove(old)
 	}
-	w := &Worker{Entry: e, Revision: revision, LastUpdate: now, ColdUntil: now.Add(e.ColdLeft)}
 	r.byID[e.ID] = w
 	known := r.services[e.Service]
 	list := make([]*Worker, 0, len(known)+1)
@@ -214,11 +236,53 @@
 		return
 	}
 	r.forget(revision)
-	r.removed[id] = removal{revision: revision, born: w.Born, heartbeat: w.Heartbeat, leaving: w.Leaving}
+	r.removed[id] = removal{revision: revision, born: w.Born, heartbeat: w.Heartbeat, leaving: w.Leaving || !w.SaidLeavingAt.IsZero()}
 	r.remove(w)
 	r.notify(w, "gone")
 }
 
+// SaysLeaving records that an incarnation of a worker said in an answer that it leaves. Only
+// the next incarnation gets requests again, also if the entry is removed and comes back. It
+// reports whether that is new.
+func (r *Registry) SaysLeaving(at time.Time, id string, born int64) bool {
+	w := r.byID[id]
+	switch {
+	case w != nil && w.Born == born:
+		if !w.SaidLeavingAt.IsZero() {
+			return false
+		}
+		w.SaidLeavingAt = at
+		if !w.Leaving {
+			r.notify(w, "leaving")
+		}
+		return true
+	case born == 0 || w != nil && w.Born > born:
+		return false
+	}
+	last := r.removed[id]
+	if last.born > born || last.born == born && last.leaving {
+		return false
+	}
+	r.removed[id] = removal{revision: last.revision, born: born, leaving: true}
+	if w != nil {
+		// An incarnation has ended before the next one can say that it leaves.
+		r.remove(w)
+		r.notify(w, "gone")
+	}
+	return true
+}
+
+// SaidLeaving returns the incarnations that said in an answer that they leave, at most limit.
+func (r *Registry) SaidLeaving(now time.Time, limit int) []Leaving {
+	var list []Leaving
+	for _, w := range r.byID {
+		if len(list) < limit && w.Born != 0 && !w.SaidLeavingAt.IsZero() {
+			list = append(list, Leaving{Worker: w.ID, Born: w.Born, AgeMs: max(now.Sub(w.SaidLeavingAt), 0).Milliseconds()})
+		}
+	}
+	return list
+}
+
 // isBefore reports whether a revision is not after another one of its era.
 func isBefore(revision, known store.Revision) bool {
 	return revision.Era() == known.Era() && revision <= known
