--- a/forward/choose.go
+++ b/forward/choose.go
@@ -67,12 +67,12 @@
 	}, "", nil
 }
 
-// isWithdrawn reports whether a worker left since it was chosen.
+// isWithdrawn reports whether a worker left or asked for a pause since it was chosen.
 func (s *Service) isWithdrawn(w *worker.Worker) bool {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !w.Usable(now)
+	return !w.Usable(now) || s.placer.Resting(now, w)
 }
 
 // object identifies what the request concerns. Objects of different routes are
@@ -96,6 +96,8 @@
 	switch {
 	case r == placement.NoWorkers:
 		return relay.NoWorkers
+	case r == placement.Resting:
+		return relay.WorkersResting
 	case heldBack:
 		return relay.WorkerLimit
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -412,7 +412,7 @@
 }
 
 func reportOf(r exchange.Result) placement.Report {
-	report := placement.Report{Outcome: placement.Answered, Took: r.Took, Opened: r.Opened}
+	report := placement.Report{Outcome: placement.Answered, Took: r.Took, Opened: r.Opened, Rest: r.Rest}
 	if r.Load != nil {
 		report.HasLoad, report.Running, report.Waiting = true, r.Load.Running, r.Load.Waiting
 	}
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -12,9 +15,38 @@
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/forward"
 	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
+// TestCallersWaitWhileAllWorkersRest has all workers of a service ask for a pause: callers
+// are refused at once and told when there is capacity, spread.
+func TestCallersWaitWhileAllWorkersRest(t *testing.T) {
+	rested := refused()
+	rested.Rest = 3 * time.Second
+	e := &exchanger{results: []exchange.Result{rested}}
+	s := newService(t, e, 2)
+	s.Handle(t.Context(), request("/read/x"))
+	require.Len(t, e.sent, 2)
+	pauses := make(map[string]bool)
+	for range 10 {
+		began := time.Now()
+		a := s.Handle(t.Context(), request("/pay/x"))
+		assert.Less(t, time.Since(began), 100*time.Millisecond)
+		assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+		assert.Equal(t, retry.NotRun, a.Outcome)
+		assert.Equal(t, relay.WorkersResting, a.Reason)
+		text := relay.Get(a.Header, relay.HeaderRetryAfter)
+		pauses[text] = true
+		pause, err := strconv.ParseFloat(text, 64)
+		require.NoError(t, err)
+		assert.Greater(t, pause, 2.5)
+		assert.Less(t, pause, 4.5)
+	}
+	assert.Greater(t, len(pauses), 5, "callers do not return at the same time")
+	assert.Len(t, e.sent, 2, "nothing is sent in the pause")
+}
+
 // TestLeavingIsHeardInASecondTry has the worker of the second attempt say that it leaves, in
 // an answer that breaks off.
 func TestLeavingIsHeardInASecondTry(t *testing.T) {
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/frontend"
+	"github.com/wigeonlock/wigeonlock/placement"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
 )
@@ -28,6 +29,9 @@
 	if rs.failure != nil {
 		return rs.failure
 	}
+	if !rs.unknown && reason == relay.WorkersResting {
+		return refuseUntil(reason, rs.choice.RestsUntil)
+	}
 	if !rs.unknown {
 		return s.refuse(rs.request, reason, rs.deadline)
 	}
@@ -50,14 +54,25 @@
 // refuse returns a refusal for a request that did not run, with a Retry-After
 // that is jittered so that refused callers do not return all at once.
 func (s *Service) refuse(r *relay.Request, reason relay.Reason, deadline time.Time) *relay.Answer {
-	countRefusal(reason)
-	a := frontend.Refusal(http.StatusServiceUnavailable, reason, "the request did not run")
 	left := r.TimeLeft
 	if !deadline.IsZero() {
 		left = time.Until(deadline)
 	}
 	pause := min(time.Duration(float64(left)*_retryAfterShare), _maxRetryAfter)
-	pause = time.Duration(float64(pause) * (0.5 + rand.Float64()/2))
+	return refusal(reason, time.Duration(float64(pause)*(0.5+rand.Float64()/2)))
+}
+
+// refuseUntil returns a refusal for a request that did not run and that can be served from a
+// time on. The callers return over the time in which the workers resume.
+func refuseUntil(reason relay.Reason, until time.Time) *relay.Answer {
+	return refusal(reason, time.Until(until)+rand.N(placement.ResumeTime))
+}
+
+// refusal returns a refusal for a request that did not run, whose caller may return after a
+// pause.
+func refusal(reason relay.Reason, pause time.Duration) *relay.Answer {
+	countRefusal(reason)
+	a := frontend.Refusal(http.StatusServiceUnavailable, reason, "the request did not run")
 	a.Header = append(a.Header, relay.Header{
 		Name: relay.HeaderRetryAfter, Value: strconv.FormatFloat(max(pause, 0).Seconds(), 'f', 3, 64),
 	})
--- a/placement/condition.go
+++ b/placement/condition.go
@@ -44,6 +44,7 @@
 	Displaced  ConditionKind = "has another worker at its address"
 	Unhealthy  ConditionKind = "slow or failing"
 	Recovered  ConditionKind = "recovered"
+	Rests      ConditionKind = "asked for a pause"
 	LocalShare ConditionKind = "home share"
 )
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -68,6 +68,8 @@
 	AllTried   Reason = "allTried"
 	// AwaitsPermit means that the permit for the worker is pending.
 	AwaitsPermit Reason = "awaitsPermit"
+	// Resting means that the workers that are left have asked for a pause.
+	Resting Reason = "resting"
 )
 
 // Request holds the properties of a request that decide its worker.
@@ -128,6 +130,9 @@
 	Warm bool
 	// Moves is set if Worker becomes the place of the object.
 	Moves bool
+	// RestsUntil is when the first of the workers that rest takes requests again. It is set
+	// if Reason is Resting.
+	RestsUntil time.Time
 
 	// charged are the limits that the move is charged to.
 	charged []*moveLimit
@@ -176,6 +181,8 @@
 	Opened time.Time
 	// Large is that of the Request.
 	Large bool
+	// Rest is the pause that the worker asked for, or zero.
+	Rest time.Duration
 }
 
 // Placer chooses workers. It is not safe for concurrent use.
@@ -265,11 +272,15 @@
 // then also limited ones where the object is cold: a cold run there would use a permit that
 // a warm object needs.
 func (p *Placer) best(now time.Time, r Request, object uint64, refused []string) Choice {
+	restsUntil := p.firstRestEnd(now)
 	p.ranking = slices.DeleteFunc(p.ranking, func(candidate ranked) bool {
 		w := candidate.w
-		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, p.state(w.ID)) ||
+		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, p.state(w.ID), object) ||
 			len(refused) > 0 && r.share(w) < 1 && !p.warm.contains(now, object, w.ID)
 	})
+	if len(p.ranking) == 0 && !restsUntil.IsZero() {
+		return Choice{Reason: Resting, RestsUntil: restsUntil}
+	}
 	if len(p.ranking) == 0 {
 		return Choice{Reason: AllTried}
 	}
--- a/placement/state.go
+++ b/placement/state.go
@@ -57,15 +57,16 @@
 	// until an update of the worker arrives, at most for _maxEntryTime.
 	unreachableAt time.Time
 	wrongWorkerAt time.Time
+	rest          rest
 	health        health
 	// unhealthy is the health in the last notification.
 	unhealthy bool
 }
 
-// avoided reports whether a worker failed recently or another worker has its
-// address.
-func (p *Placer) avoided(now time.Time, w *worker.Worker, s *state) bool {
-	return isValid(now, s.wrongWorkerAt, w) || now.Before(s.avoidUntil)
+// avoided reports whether a worker failed recently, another worker has its address, or it
+// rests.
+func (p *Placer) avoided(now time.Time, w *worker.Worker, s *state, object uint64) bool {
+	return isValid(now, s.wrongWorkerAt, w) || now.Before(s.avoidUntil) || s.rest.excludes(now, w, object)
 }
 
 // isValid reports whether an observation of a worker is still valid.
@@ -120,13 +121,21 @@
 func (p *Placer) End(now time.Time, w *worker.Worker, r Report) {
 	s := p.state(w.ID)
 	s.inFlight--
-	p.updateHealth(now, s, w, r)
-	p.notifyHealth(now, s, w)
+	if r.Rest > 0 {
+		p.startRest(now, s, w, r.Rest)
+	} else {
+		p.updateHealth(now, s, w, r)
+		p.notifyHealth(now, s, w)
+	}
 	if r.HasLoad {
 		weight := 1 - math.Exp(-now.Sub(s.reportedAt).Seconds()/_meanLoadTime.Seconds())
 		s.meanLoad += weight * (float64(r.Running+r.Waiting)/float64(max(w.Slots, 1)) - s.meanLoad)
 		s.reportedLoad, s.reportedInFlight, s.reportedAt = r.Running+r.Waiting, s.inFlight, now
 	}
+	if r.Rest > 0 {
+		// A worker that asks for a pause is sound, and says when it has capacity again.
+		return
+	}
 	switch r.Outcome {
 	case Answered:
 		s.faults = 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,6 +84,7 @@
 	RetryBudget        Reason = "retryBudget"
 	NoWorkers          Reason = "noWorkers"
 	WorkerLimit        Reason = "workerLimit"
+	WorkersResting     Reason = "workersResting"
 	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 )
