--- a/directory/directory.go
+++ b/directory/directory.go
@@ -197,6 +197,16 @@
 	return slices.DeleteFunc(d.selectMembers(d.Self.Region), func(m Member) bool { return m.Name == d.Self.Name })
 }
 
+// ServingEverywhere returns the instances of all regions that callers are given, as far as
+// the registrations tell.
+func (d *Directory) ServingEverywhere() []Member {
+	var list []Member
+	for _, region := range d.regions() {
+		list = append(list, d.selectMembers(region)...)
+	}
+	return list
+}
+
 // Serves reports whether callers of the local region are sent to this instance, as far as
 // the registrations tell.
 func (d *Directory) Serves() bool {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonlock/wigeonlock/relay"
 )
@@ -55,6 +57,8 @@
 	// worker: a worker may have restarted two seconds after it ended. A check costs
 	// one system call for each worker.
 	_idleCheckInterval = 500 * time.Millisecond
+	// _endingTime is how long a process that ends may take to close its sockets.
+	_endingTime = 10 * time.Millisecond
 	// _massCloseThreshold is the number of checked workers above which a close by
 	// most of them is assumed to have a local cause.
 	_massCloseThreshold = 3
@@ -328,6 +332,22 @@
 	}
 }
 
+// HasEnded reports whether nothing listens at the address of a worker. If it does, the new
+// connection is kept, unless it ends at once: a process that ends may close its listener last.
+func (p *Pool) HasEnded(ctx context.Context, t Target) bool {
+	c, err := p.dial(ctx, t.Address)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	time.Sleep(_endingTime)
+	if c.ended() {
+		c.close()
+		return true
+	}
+	p.release(t, c)
+	return false
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	_dials.Inc()
 	ctx, cancel := context.WithTimeout(ctx, _dialTimeout)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,10 +27,12 @@
 	"github.com/wigeonlock/wigeonlock/catalog"
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/frontend"
+	"github.com/wigeonlock/wigeonlock/limit"
 	"github.com/wigeonlock/wigeonlock/permit"
 	"github.com/wigeonlock/wigeonlock/placement"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -106,6 +108,14 @@
 	// instance that is alone.
 	Permits *permit.Book
 
+	// Suspects holds the contents that may end workers. If it is nil, Prepare sets one of an
+	// instance that is alone. HasEnded, if set, reports whether nothing listens at a worker's
+	// address any more; without it there are no suspects. TellSuspects, if set, passes on
+	// what was found out; it must not block.
+	Suspects     *suspect.Book
+	HasEnded     func(ctx context.Context, t exchange.Target) bool
+	TellSuspects func(news suspect.News)
+
 	// regions is the number of regions.
 	regions int
 
@@ -115,6 +125,8 @@
 	pacer   placement.Pacer
 	returns returns
 	budgets map[string]*retry.SharedBudget
+	checks  map[incarnation]*workerCheck
+	tells   limit.Bucket
 }
 
 // Prepare initializes the service. It must be called before any other method.
@@ -138,6 +150,10 @@
 	}
 	s.Permits.Changed, s.Permits.Silent = s.limitChanged, s.instanceSilent
 	s.budgets = make(map[string]*retry.SharedBudget)
+	s.checks = make(map[incarnation]*workerCheck)
+	if s.Suspects == nil {
+		s.Suspects = &suspect.Book{Tries: func(suspect.Content) bool { return true }}
+	}
 }
 
 // Update lets f modify the known state under the lock of the service. f must
@@ -185,6 +201,7 @@
 	s.placer.Forget(func(id string) bool { return s.state.Workers.Get(id) == nil })
 	s.pacer.Forget(now)
 	s.Permits.Sweep(now, s.hasEnded)
+	s.Suspects.Sweep(now)
 }
 
 func (s *Service) route(r *relay.Request) (route *catalog.Route, known bool) {
@@ -240,6 +257,8 @@
 	// those that could not be reached.
 	attempts    int
 	failedDials int
+	// trial is set while the request is the one that tries a suspected content.
+	trial bool
 	// unknown is set when a worker may have run the request.
 	unknown bool
 	// permitWaits counts the answers of issuers that were waited for, and holds are the
@@ -307,8 +326,15 @@
 // request must not be retried.
 func (s *Service) forward(ctx context.Context, rs *requestState) *relay.Answer {
 	for {
+		if reason, wait := s.mayAttempt(rs); reason != "" {
+			if len(rs.tried) == 0 {
+				return refuseContent(wait)
+			}
+			return s.giveUp(rs, reason, _endsWorkers)
+		}
 		target, reason := s.chooseWorker(ctx, rs)
 		if reason != "" {
+			s.endTrial(rs)
 			return s.giveUp(rs, reason, _noWorker)
 		}
 		s.attempt(ctx, rs, target)
@@ -409,6 +435,7 @@
 		s.Exchange.CloseIdle(target.Address)
 	}
 	s.logAttempt(rs, target, result)
+	s.recordContent(ctx, rs, target)
 }
 
 func reportOf(r exchange.Result) placement.Report {
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -29,6 +29,7 @@
 	_budgetUsed   noRetryReason = "retryBudget"
 	_noTimeLeft   noRetryReason = "deadline"
 	_noWorker     noRetryReason = "noWorker"
+	_endsWorkers  noRetryReason = "endsWorkers"
 )
 
 // phase is one of the parts into which the duration of a request is split.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
@@ -32,6 +33,7 @@
 	"github.com/wigeonlock/wigeonlock/permitfeed"
 	"github.com/wigeonlock/wigeonlock/platform"
 	"github.com/wigeonlock/wigeonlock/store"
+	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/watch"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
@@ -110,8 +112,9 @@
 	}
 	g.forward = &forward.Service{
 		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
-		Permits: permits,
+		Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
+	g.permitfeed.Fleet = g.fleet
 	g.permitfeed.Workers = g.forward
 	g.movefeed.Listen = s.Peers.Listen
 	g.movefeed.Neighbours = func() []string {
@@ -340,6 +343,33 @@
 	return addresses
 }
 
+// fleet returns the addresses for datagrams of the other instances that serve callers.
+func (g *Gateway) fleet() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var addresses []string
+	for _, m := range g.directory.ServingEverywhere() {
+		if m.Name != g.Settings.Instance {
+			addresses = append(addresses, m.Permits)
+		}
+	}
+	return addresses
+}
+
+// tries reports whether this instance tries a content that may end workers: one does of
+// those that serve callers.
+func (g *Gateway) tries(c suspect.Content) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := xxhash.Sum64String(c.String() + "/" + g.Settings.Instance)
+	for _, m := range g.directory.ServingEverywhere() {
+		if m.Name != g.Settings.Instance && xxhash.Sum64String(c.String()+"/"+m.Name) > self {
+			return false
+		}
+	}
+	return true
+}
+
 // instances returns the number of known instances.
 func (g *Gateway) instances() int {
 	g.mu.Lock()
--- a/permit/message.go
+++ b/permit/message.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -11,8 +12,8 @@
 // needs no fragments.
 const MaxLeaving = 16
 
-// Message is what instances send each other. Exactly one of Ask, Reply, Limits, Hello and
-// Leaving is set.
+// Message is what instances send each other. Exactly one of Ask, Reply, Limits, Hello,
+// Leaving and Suspects is set.
 type Message struct {
 	From string `json:"from"`
 	// Number identifies a question; its answer repeats it. 0 expects no answer but that
@@ -25,6 +26,8 @@
 	Hello bool `json:"hello,omitempty"`
 	// Leaving are workers that said that they leave, which get no permits any more.
 	Leaving []worker.Leaving `json:"leaving,omitempty"`
+	// Suspects are news of requests that may end workers.
+	Suspects *suspect.News `json:"suspects,omitempty"`
 }
 
 // Notice is what an instance knows of the limit of a worker.
@@ -69,6 +72,9 @@
 			return Message{}, false
 		}
 	}
+	if m.Suspects != nil && !m.Suspects.Valid() {
+		return Message{}, false
+	}
 	for _, l := range m.Leaving {
 		if l.Worker == "" || l.Born <= 0 || l.AgeMs < 0 {
 			return Message{}, false
--- a/permitfeed/permitfeed.go
+++ b/permitfeed/permitfeed.go
@@ -1,5 +1,6 @@
 // Package permitfeed carries the questions for permits and their answers between instances,
-// as datagrams, and the news which workers said that they leave.
+// as datagrams, and the news which workers said that they leave and which requests may end
+// workers.
 //
 // Nothing is repeated: an answer that is lost costs a permit, and the requests that wait for
 // it go to other workers. An instance that starts asks its neighbours for all limits that
@@ -25,6 +26,7 @@
 	"github.com/wigeonlock/wigeonlock/datagram"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/permit"
+	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -46,7 +48,9 @@
 	// Neighbours returns the addresses of the other instances of the region that serve
 	// callers.
 	Neighbours func() []string
-	// Workers is told which workers said that they leave.
+	// Fleet returns the addresses of the other instances of all regions that serve callers.
+	Fleet func() []string
+	// Workers is told what other instances learned of workers.
 	Workers Workers
 	Log     *zap.Logger
 
@@ -56,18 +60,21 @@
 	heard    bool
 }
 
-// Workers holds the workers that said that they leave.
+// Workers holds what is known of workers.
 type Workers interface {
-	// SaidLeaving returns them, at most limit.
+	// SaidLeaving returns the workers that said that they leave, at most limit.
 	SaidLeaving(limit int) []worker.Leaving
 	// AdoptLeaving records what an instance was told by a worker.
 	AdoptLeaving(from string, l worker.Leaving)
+	// AdoptSuspects records what an instance found out about requests.
+	AdoptSuspects(from string, news suspect.News)
 }
 
-// envelope is a message to an instance, or to all neighbours if to is empty.
+// envelope is a message to an instance, or to all that recipients returns.
 type envelope struct {
-	to      string
-	message permit.Message
+	to         string
+	recipients func() []string
+	message    permit.Message
 }
 
 var (
@@ -84,8 +91,12 @@
 
 // Send queues a message to the host:port of an instance. It does not block.
 func (f *Feed) Send(address string, m permit.Message) {
+	f.enqueue(envelope{to: address, message: m})
+}
+
+func (f *Feed) enqueue(e envelope) {
 	select {
-	case f.queue <- envelope{address, m}:
+	case f.queue <- e:
 	default:
 		_dropped.Inc()
 	}
@@ -93,7 +104,12 @@
 
 // TellLeaving queues for all neighbours that a worker leaves. It does not block.
 func (f *Feed) TellLeaving(l worker.Leaving) {
-	f.Send("", permit.Message{From: f.Book.Self, Leaving: []worker.Leaving{l}})
+	f.enqueue(envelope{recipients: f.Neighbours, message: permit.Message{From: f.Book.Self, Leaving: []worker.Leaving{l}}})
+}
+
+// TellSuspects queues news for all instances that serve callers. It does not block.
+func (f *Feed) TellSuspects(news suspect.News) {
+	f.enqueue(envelope{recipients: f.Fleet, message: permit.Message{From: f.Book.Self, Suspects: &news}})
 }
 
 // Run sends and receives messages until ctx ends and returns nil. Without a socket it only
@@ -119,7 +135,7 @@
 		return
 	}
 	_received.Inc()
-	if len(m.Leaving) > 0 {
+	if len(m.Leaving) > 0 || m.Suspects != nil {
 		f.adopt(m)
 		return
 	}
@@ -141,7 +157,7 @@
 	}
 }
 
-// adopt records the workers that leave, as a message says.
+// adopt records what a message says of workers.
 func (f *Feed) adopt(m permit.Message) {
 	if f.Workers == nil {
 		return
@@ -149,6 +165,9 @@
 	for _, l := range m.Leaving {
 		f.Workers.AdoptLeaving(m.From, l)
 	}
+	if m.Suspects != nil {
+		f.Workers.AdoptSuspects(m.From, *m.Suspects)
+	}
 }
 
 // send sends the queued messages, and asks the neighbours for their limits until one
@@ -174,8 +193,8 @@
 			}
 		case e := <-f.queue:
 			recipients := []string{e.to}
-			if e.to == "" {
-				recipients = f.Neighbours()
+			if e.recipients != nil {
+				recipients = e.recipients()
 			}
 			for _, to := range recipients {
 				writeTo(conn, to, e.message)
--- a/placement/state.go
+++ b/placement/state.go
@@ -57,8 +57,10 @@
 	// until an update of the worker arrives, at most for _maxEntryTime.
 	unreachableAt time.Time
 	wrongWorkerAt time.Time
-	rest          rest
-	health        health
+	// endedAt is when nothing listened at the worker's address. It is valid like these.
+	endedAt time.Time
+	rest    rest
+	health  health
 	// unhealthy is the health in the last notification.
 	unhealthy bool
 }
@@ -66,7 +68,7 @@
 // avoided reports whether a worker failed recently, another worker has its address, or it
 // rests.
 func (p *Placer) avoided(now time.Time, w *worker.Worker, s *state, object uint64) bool {
-	return isValid(now, s.wrongWorkerAt, w) || now.Before(s.avoidUntil) || s.rest.excludes(now, w, object)
+	return isValid(now, s.wrongWorkerAt, w) || isValid(now, s.endedAt, w) || now.Before(s.avoidUntil) || s.rest.excludes(now, w, object)
 }
 
 // isValid reports whether an observation of a worker is still valid.
@@ -173,6 +175,14 @@
 	}
 }
 
+// Ended records that nothing listens at the address of a worker any more. It is avoided until
+// its next entry, and may be cold then.
+func (p *Placer) Ended(now time.Time, w *worker.Worker) {
+	s := p.state(w.ID)
+	p.suspect(now, s, w, Unreachable)
+	s.endedAt = now
+}
+
 // Suspect records that a worker may have ended and be cold after a restart.
 func (p *Placer) Suspect(now time.Time, w *worker.Worker) {
 	p.suspect(now, p.state(w.ID), w, ClosedIdle)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -85,6 +85,7 @@
 	NoWorkers          Reason = "noWorkers"
 	WorkerLimit        Reason = "workerLimit"
 	WorkersResting     Reason = "workersResting"
+	EndsWorkers        Reason = "endsWorkers"
 	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 )
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -85,6 +85,8 @@
 	ServiceTime func(path string) time.Duration
 	// ColdStart is how long the worker is cold after its start.
 	ColdStart time.Duration
+	// Deadly, if set, reports whether a request with a path ends the worker once it runs.
+	Deadly func(path string) bool
 	// AdvertisedAddress, if set, replaces the listen address in the worker's entry.
 	AdvertisedAddress string
 
@@ -109,6 +111,8 @@
 	leaving    bool
 	rest       time.Duration
 	restsUntil time.Time
+	// ended is set once a request ended the worker.
+	ended bool
 }
 
 // Listen starts serving on a free loopback address.
@@ -153,6 +157,13 @@
 	b.leaving = true
 }
 
+// HasEnded reports whether a request ended the worker.
+func (b *Backend) HasEnded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
 // Restart begins a new incarnation of the worker, at the same address.
 func (b *Backend) Restart() {
 	b.mu.Lock()
@@ -250,6 +261,13 @@
 	}
 	defer func() { <-b.slots }()
 	b.work(r.Context(), v)
+	if b.Deadly != nil && b.Deadly(r.URL.Path) {
+		b.mu.Lock()
+		b.ended = true
+		b.mu.Unlock()
+		b.Close()
+		abort()
+	}
 	b.answer(w, r, v)
 }
 
