A larger count does not hide that a worker leaves

Seen in a test: an entry of another writer with a larger count, where a worker's entry is, makes the worker's own entry that it leaves an older one; requests go on reaching it.

Cause: entries of one incarnation are ordered by their count, against delayed writes. A worker never takes back that it leaves, so that holds now whichever entry counts more. worker.TestLargerCountHidesThatAWorkerLeaves failed before.

--- a/worker/leaving_test.go
+++ b/worker/leaving_test.go
@@ -91,3 +91,15 @@
 	r.Put(_start, unborn(1), 12)
 	assert.True(t, r.Get("i").Usable(_start))
 }
+
+// TestLargerCountHidesThatAWorkerLeaves has another writer put an entry with a large count
+// where the worker's entry is.
+func TestLargerCountHidesThatAWorkerLeaves(t *testing.T) {
+	r := worker.NewRegistry()
+	r.Put(_start, entry("i", 1), 10)
+	r.Put(_start, entry("i", 900_000), 11)
+	leaving := entry("i", 3)
+	leaving.Leaving = true
+	r.Put(_start, leaving, 12)
+	assert.False(t, r.Get("i").Usable(_start), "written later, by the worker itself")
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -166,6 +166,10 @@
 		return false
 	}
 	if w != nil && w.Born != 0 && (e.Born < w.Born || e.Born == w.Born && e.Heartbeat < w.Heartbeat) {
+		if e.Born == w.Born && e.Leaving && !w.Leaving {
+			// A worker never takes it back, so it holds whatever was counted.
+			return r.update(now, w, e, revision)
+		}
 		return false
 	}
 	if w == nil || !w.isIncarnationOf(e) || w.Address != e.Address || w.Service != e.Service {
