An instance outlives a lack of descriptors

Cause: any error of Accept but a timeout ended the server, and with it the process; and nothing bounded how many descriptors callers take from a process that also needs them for workers, the store and other instances.

Only a closed listener ends the server now; other errors are counted and waited out. The descriptors of the process are divided: callers and workers get a share each, the rest is kept for control. A connection to a worker takes the place of the one idle the longest; without one, the request is refused, and the worker is not blamed. Gauges tell the use and the limits.

HTTP and gRPC servers already wait such errors out.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,9 @@
 	idleSince   time.Time
 	idleLimit   time.Duration
 	limitStated bool
+	// open counts the open connections of the pool, closed is set once this one is not.
+	open   *atomic.Int64
+	closed atomic.Bool
 }
 
 func newConn(nc net.Conn) *conn {
@@ -66,6 +70,9 @@
 }
 
 func (c *conn) close() {
+	if c.open != nil && !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
 	_ = c.Close()
 }
 
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/socket"
 )
 
 const (
@@ -30,6 +31,8 @@
 	errStray    = errors.New("answer belongs to another request")
 	errEncoded  = errors.New("answer has a content encoding that was not requested")
 	errTooLarge = errors.New("answer is too large")
+
+	errNoConnections = errors.New("all connections to workers are in use")
 )
 
 // Do sends a request to a worker and reads its complete answer. ctx cancels the
@@ -47,7 +50,7 @@
 		var err error
 		c, err = p.dial(ctx, t.Address)
 		if err != nil {
-			return p.notSent(ctx, started)
+			return p.notSent(ctx, started, err)
 		}
 		connect = time.Since(started)
 	}
@@ -60,10 +63,12 @@
 	return result
 }
 
-func (p *Pool) notSent(ctx context.Context, started time.Time) Result {
+func (p *Pool) notSent(ctx context.Context, started time.Time, err error) Result {
 	result := Result{Answer: relay.NotRun(relay.WorkerUnreachable), Fault: Unreachable, Took: time.Since(started)}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		result.Answer.Reason, result.Fault = relay.CallerDisconnected, CallerDisconnected
+	} else if errors.Is(err, errNoConnections) || socket.IsShortage(err) {
+		result.Answer.Reason, result.Fault = relay.NoConnections, Starved
 	}
 	return result
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,6 +143,8 @@
 	Misdirected Fault = "misdirected"
 	// Refused means that the worker declined to run the request.
 	Refused Fault = "refused"
+	// Starved means that this process has no connection left. It says nothing of the worker.
+	Starved Fault = "noConnections"
 	// Withdrawn means that the target was withdrawn before the request was sent.
 	Withdrawn Fault = "withdrawn"
 )
@@ -195,8 +198,12 @@
 	// BodyBudget limits the memory of the large bodies that are being read at a time, in
 	// bytes. 0 is _defaultBodyBudget.
 	BodyBudget int64
+	// MaxConns is the largest number of connections to all workers together, or 0. At that
+	// number, idle ones give way to new ones.
+	MaxConns int
 
 	bodies atomic.Int64
+	open   atomic.Int64
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -213,6 +220,7 @@
 	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
 	_badRests        = metrics.NewCounter("wigeonlock_unusable_rests_total")
 	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
+	_starved         = metrics.NewCounter("wigeonlock_worker_connections_denied_total")
 	_surpluses       = metrics.NewCounter("wigeonlock_surplus_bytes_total")
 )
 
@@ -349,6 +357,10 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if p.MaxConns > 0 && p.open.Load() >= int64(p.MaxConns) && !p.closeOldestIdle() {
+		_starved.Inc()
+		return nil, errNoConnections
+	}
 	_dials.Inc()
 	ctx, cancel := context.WithTimeout(ctx, _dialTimeout)
 	defer cancel()
@@ -360,5 +372,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	c := newConn(nc)
+	c.open = &p.open
+	p.open.Add(1)
+	return c, nil
+}
+
+// closeOldestIdle closes the connection that was idle the longest. It returns false if none
+// is idle.
+func (p *Pool) closeOldestIdle() bool {
+	p.mu.Lock()
+	var oldest string
+	for address, list := range p.idle {
+		if len(list) > 0 && (oldest == "" || list[0].idleSince.Before(p.idle[oldest][0].idleSince)) {
+			oldest = address
+		}
+	}
+	if oldest == "" {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[oldest][0]
+	p.idle[oldest] = slices.Delete(p.idle[oldest], 0, 1)
+	if len(p.idle[oldest]) == 0 {
+		delete(p.idle, oldest)
+	}
+	p.mu.Unlock()
+	c.close()
+	return true
+}
+
+// Connections returns the number of open connections, and of those that are idle.
+func (p *Pool) Connections() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return int(p.open.Load()), idle
 }
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -118,3 +118,30 @@
 	requests, _ := w.counts()
 	assert.Zero(t, requests)
 }
+
+// TestShortageBlamesTheWorker has a pool use all its connections: the worker is not to blame,
+// and an idle connection gives way.
+func TestShortageBlamesTheWorker(t *testing.T) {
+	hold := make(chan struct{})
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		if r.Header.Get("Id") == "held" {
+			<-hold
+		}
+		return ok(r.Header.Get("Id"), "")
+	})
+	other := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte { return ok(r.Header.Get("Id"), "") })
+	pool := &exchange.Pool{HeaderNames: namesWithNews(), MaxConns: 1}
+	assert.Equal(t, exchange.None, pool.Do(t.Context(), w.target(), request("q"), true).Fault)
+	assert.Equal(t, exchange.None, pool.Do(t.Context(), other.target(), request("q"), true).Fault, "an idle connection gives way")
+	done := make(chan exchange.Result, 1)
+	go func() { done <- pool.Do(t.Context(), w.target(), request("held"), true) }()
+	assert.Eventually(t, func() bool { open, idle := pool.Connections(); return open == 1 && idle == 0 }, time.Second, time.Millisecond)
+	result := pool.Do(t.Context(), other.target(), request("q2"), true)
+	assert.Equal(t, exchange.Starved, result.Fault)
+	assert.Equal(t, retry.NotRun, result.Answer.Outcome)
+	close(hold)
+	assert.Equal(t, exchange.None, (<-done).Fault)
+	open, idle := pool.Connections()
+	assert.Equal(t, 1, open)
+	assert.Equal(t, 1, idle)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -345,11 +345,19 @@
 			return s.giveUp(rs, relay.DeadlinePassed, _noTimeLeft)
 		}
 		if denied := s.denyRetry(rs); denied != "" {
-			return s.giveUp(rs, relay.RetryBudget, denied)
+			return s.giveUp(rs, reasonOfDenial(denied), denied)
 		}
 	}
 }
 
+// reasonOfDenial returns the reason that callers get when a request is not sent again.
+func reasonOfDenial(denied noRetryReason) relay.Reason {
+	if denied == _starved {
+		return relay.NoConnections
+	}
+	return relay.RetryBudget
+}
+
 // finalAnswer returns the answer of the last attempt if it ends the request, or
 // nil. The first server error to a repeatable request, other than 504, is stored as
 // failure, and the request is retried.
@@ -375,6 +383,8 @@
 	switch {
 	case rs.unknown && !rs.route.Kind.Repeatable():
 		return _mayHaveRun
+	case rs.last.Fault == exchange.Starved:
+		return _starved
 	case !rs.last.Sent && rs.failedDials >= _maxFailedDials:
 		return _dialsUsed
 	case !rs.last.Sent:
@@ -458,7 +468,7 @@
 		report.Outcome = placement.Shed
 	case exchange.CallerDisconnected:
 		report.Outcome = placement.CallerDisconnected
-	case exchange.Withdrawn:
+	case exchange.Withdrawn, exchange.Starved:
 		report.Outcome = placement.Withdrawn
 	default:
 		report.Outcome = placement.Failed
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -29,6 +29,7 @@
 	_budgetUsed   noRetryReason = "retryBudget"
 	_noTimeLeft   noRetryReason = "deadline"
 	_noWorker     noRetryReason = "noWorker"
+	_starved      noRetryReason = "noConnections"
 	_endsWorkers  noRetryReason = "endsWorkers"
 )
 
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -37,6 +37,10 @@
 	reader *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
+	// refused is set if there were too many connections when it was accepted.
+	refused bool
+	// evicted is set when the connection ends because it is idle and its descriptor is needed.
+	evicted atomic.Bool
 	// pending is the number of requests that are not yet answered.
 	pending atomic.Int32
 	slots   chan struct{}
@@ -141,6 +145,12 @@
 	disconnected := false
 	for !c.closing.Load() {
 		if err := c.awaitRequest(); err != nil {
+			if c.evicted.Load() && c.pending.Load() == 0 {
+				// Nothing was read that the caller has to be told of.
+				c.cancel()
+				_ = c.Close()
+				return
+			}
 			disconnected = !c.isStopped() && !c.isTimeout(err)
 			break
 		}
@@ -397,7 +407,7 @@
 		answer := c.handle(r, previous)
 		<-previous
 		if answer != nil {
-			c.write(r, answer, r.CloseConn)
+			c.write(r, answer, r.CloseConn || c.refused)
 		}
 	}()
 	return done
@@ -407,6 +417,9 @@
 // its connection that the request was not read. A panic of the handler becomes an answer
 // that promises nothing.
 func (c *conn) handle(r *relay.Request, previous <-chan struct{}) (answer *relay.Answer) {
+	if c.refused {
+		return c.refuse()
+	}
 	err := kernel.Guard(func() error {
 		if c.server.Handler.Exclusive(r) {
 			<-previous
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -79,6 +79,9 @@
 	Handler     Handler
 	// Limits returns the active limits.
 	Limits func() Limits
+	// MaxConns is the number of connections above which idle ones are closed, and further
+	// ones are refused after their first request. 0 means no limit.
+	MaxConns int
 	// Log, if set, gets panics of the handler.
 	Log *zap.Logger
 
@@ -112,20 +115,17 @@
 	s.mu.Unlock()
 	defer close(s.served)
 	for {
-		nc, err := l.Accept()
+		nc, err := s.accept(l)
+		if err != nil && s.isClosing() {
+			_ = l.Close()
+			return nil
+		}
 		if err != nil {
-			if s.isClosing() {
-				_ = l.Close()
-				return nil
-			}
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				continue
-			}
 			return errors.Wrap(err, "accept callers")
 		}
 		_accepted.Inc()
 		c := newConn(s, nc)
+		c.refused = !s.makeRoom()
 		s.add(c)
 		go c.serve()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/wigeonlock/wigeonlock/permit"
 	"github.com/wigeonlock/wigeonlock/permitfeed"
 	"github.com/wigeonlock/wigeonlock/platform"
+	"github.com/wigeonlock/wigeonlock/socket"
 	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/watch"
@@ -61,6 +62,11 @@
 	// _bodyShare is the part of the memory that large bodies of answers may take while
 	// they are read.
 	_bodyShare = 0.25
+	// _controlDescriptors is the number of descriptors that are kept for files, the store,
+	// other instances and look-ups; of the rest, callers and workers get a share each.
+	_controlDescriptors = 300
+	_callerShare        = 0.55
+	_workerShare        = 0.4
 	// Limits on callers until a configuration is received; sizes are in bytes.
 	_headerBytes   = 16 << 10
 	_bodyBytes     = 64 << 20
@@ -127,6 +133,7 @@
 		HeaderBytes: _headerBytes, BodyBytes: _bodyBytes, HeaderTime: _headerTimeout, IdleTime: _idleTimeout,
 	}
 	g.frontend = &frontend.Server{HeaderNames: platform.CallerHeaders(), Handler: g.forward, Limits: g.currentLimits, Log: g.Log}
+	g.limitConnections(socket.DescriptorLimit())
 	g.directory.Self = directory.Member{
 		Name: s.Instance, Address: s.Callers.Address(), Zone: s.Zone, Region: s.Region,
 		Peers: s.Peers.Address(), Permits: s.Permits.Address(), Started: g.startedAt.UnixMilli(), Capacity: s.capacity(),
@@ -145,6 +152,16 @@
 	return g
 }
 
+// limitConnections divides the descriptors of the process, so that callers cannot take those
+// that the instance itself needs. 0 means that their number is not known.
+func (g *Gateway) limitConnections(descriptors int) {
+	if descriptors == 0 {
+		return
+	}
+	rest := float64(max(descriptors-_controlDescriptors, descriptors/2))
+	g.frontend.MaxConns, g.pool.MaxConns = int(rest*_callerShare), int(rest*_workerShare)
+}
+
 // Run runs the instance until ctx ends and the graceful shutdown is complete.
 func (g *Gateway) Run(ctx context.Context) error {
 	k := &kernel.Kernel{
--- a/gateway/http.go
+++ b/gateway/http.go
@@ -69,6 +69,7 @@
 	if readAt.IsZero() {
 		readAt = g.startedAt
 	}
+	open, idle := g.pool.Connections()
 	const age = `wigeonlock_belief_age_seconds{belief="%s"}`
 	gauges := []struct {
 		name  string
@@ -79,6 +80,11 @@
 		{fmt.Sprintf(age, "oldestWorker"), status.OldestUpdate.Seconds()},
 		{"wigeonlock_configuration_version", float64(status.Version)},
 		{"wigeonlock_instances_known", float64(instances)},
+		{`wigeonlock_connections{use="callers"}`, float64(g.frontend.Connections())},
+		{`wigeonlock_connections{use="workers"}`, float64(open)},
+		{`wigeonlock_connections{use="workersIdle"}`, float64(idle)},
+		{`wigeonlock_connections_limit{use="callers"}`, float64(g.frontend.MaxConns)},
+		{`wigeonlock_connections_limit{use="workers"}`, float64(g.pool.MaxConns)},
 		{`wigeonlock_workers_known{state="usable"}`, float64(status.Usable)},
 		{`wigeonlock_workers_known{state="cold"}`, float64(status.Cold)},
 		{`wigeonlock_workers_known{state="leaving"}`, float64(status.Leaving)},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -86,6 +86,8 @@
 	WorkerLimit        Reason = "workerLimit"
 	WorkersResting     Reason = "workersResting"
 	EndsWorkers        Reason = "endsWorkers"
+	NoConnections      Reason = "noConnections"
+	TooManyCallers     Reason = "tooManyCallers"
 	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 )
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -1,5 +1,5 @@
 // Package socket sets options of TCP sockets that the standard library does not
-// offer.
+// offer, and tells how many sockets the process may have.
 //
 // # Usage
 //
@@ -10,9 +10,31 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
+// DescriptorLimit returns the number of descriptors that the process may have open, or 0 if it
+// is not known.
+func DescriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > 1<<30 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
+// IsShortage reports whether an error means that the process has no descriptor, port or memory
+// left for a socket.
+func IsShortage(err error) bool {
+	for _, shortage := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL} {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
+}
+
 // UserTimeout returns a net.Dialer.Control function that sets TCP_USER_TIMEOUT, the
 // time for which sent data may stay unacknowledged before the connection is closed.
 func UserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
