--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -205,7 +205,7 @@
 			delete(s.ended, worker)
 		}
 		s.turns = min(s.turns, len(s.ended))
-		if len(s.ended) == 0 && !s.trial {
+		if len(s.ended) == 0 {
 			delete(b.suspects, c)
 		}
 	}
@@ -224,7 +224,7 @@
 // Sweep deletes suspicions that have ended.
 func (b *Book) Sweep(now time.Time) {
 	for c, s := range b.suspects {
-		if s.expired(now) && !s.trial {
+		if s.expired(now) {
 			delete(b.suspects, c)
 		}
 	}
