Soak: workers say farewell and ask for pauses

Schedules draw, from numbers of their own, workers that say in their answers that they leave while their entry says nothing, and restart, and workers that refuse for 0.7 s and ask for a pause. The checks farewell and rested follow the platform's words; excused are only the end or the freeze of the process, and for pauses disturbances of the instance or of the link to the worker.

Three broken variants are caught: farewells ignored, taken back by a heartbeat, pauses ignored. The number of kinds that the draw reaches is 22 instead of 20.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -53,6 +53,11 @@
 	Cold Invariant = "cold"
 	// Limited: a worker that names a limit receives no more from all instances together.
 	Limited Invariant = "limited"
+	// Farewell: a worker that said in an answer that it leaves receives nothing more from the
+	// instance that passed it on.
+	Farewell Invariant = "farewell"
+	// Rested: a worker that asked an instance for a pause receives hardly anything from it.
+	Rested Invariant = "rested"
 	// Answered: an accepted request is answered, also by an instance that is
 	// shutting down.
 	Answered Invariant = "answered"
@@ -279,6 +284,8 @@
 	{Budget, false, budget},
 	{Cold, true, cold},
 	{Limited, true, limited},
+	{Farewell, true, farewell},
+	{Rested, true, rested},
 	{Answered, false, answered},
 	{Stopped, false, stopped},
 	{Recovered, true, recovered},
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -131,6 +131,20 @@
 				l.Visits = append(l.Visits, v)
 			}
 		}},
+		{check.Farewell, func(l *check.Log) {
+			for i := range l.Visits {
+				l.Visits[i].SaidLeaving = true
+			}
+		}},
+		{check.Rested, func(l *check.Log) {
+			for i := range 8 {
+				id := fmt.Sprint("rested", i)
+				sent := 17 + 0.3*float64(i)
+				l.Calls = append(l.Calls, call(id, "/idem/1", sent))
+				l.Visits = append(l.Visits, visit(id, "/idem/1", sent))
+			}
+			l.Visits[len(l.Visits)-8].RestAsked = 2 * time.Second
+		}},
 		{check.Answered, func(l *check.Log) {
 			l.Calls[0].Status, l.Calls[0].Complete, l.Calls[0].ConnLost = 0, false, true
 		}},
--- a/soak/check/request.go
+++ b/soak/check/request.go
@@ -152,6 +152,9 @@
 // Stopping is the cause of the disruption of an instance during a planned stop.
 const Stopping = "stopping"
 
+// Freezing is the cause of the disruption of an instance while it is frozen.
+const Freezing = "freeze"
+
 func inTime(c *checker) {
 	for id, call := range c.calls {
 		if call.Ended.IsZero() || !call.DisconnectedAt.IsZero() || call.Pipelined || !c.instanceStable(call.Instance, call.Sent, call.Ended, false) {
--- a/soak/fault/fault.go
+++ b/soak/fault/fault.go
@@ -48,6 +48,11 @@
 	WorkerFault Kind = "misbehave"
 	// Limit has a worker name a limit in its answers.
 	Limit Kind = "limit"
+	// Farewell has a worker say in its answers that it leaves, while its entry says nothing; it
+	// restarts then. Rest has a worker refuse all requests for a moment and ask for a pause of
+	// Duration.
+	Farewell Kind = "farewell"
+	Rest     Kind = "rest"
 	// Operator events.
 	Configure Kind = "configure"
 	Evacuate  Kind = "evacuate"
@@ -155,6 +160,11 @@
 	_minRestoreTime = 300 * time.Millisecond
 	_maxRestoreTime = 2500 * time.Millisecond
 	_maxCopyAge     = 10 * time.Second
+	// _maxNews is the largest number of farewells and rests in a schedule, and _minNewsTime and
+	// _maxNewsTime are how long they last.
+	_maxNews     = 4
+	_minNewsTime = 700 * time.Millisecond
+	_maxNewsTime = 5 * time.Second
 	// _minShare is the smallest share of a worker's requests that are affected.
 	_minShare = 0.05
 )
@@ -176,6 +186,7 @@
 	}
 	events = append(events, drawLimits(seed, window, t)...)
 	events = append(events, drawRestores(seed, window)...)
+	events = append(events, drawNews(seed, window, t)...)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
 	return events
 }
@@ -210,6 +221,23 @@
 	return events
 }
 
+// drawNews draws what workers say in their answers of their intentions, also from numbers of
+// its own.
+func drawNews(seed uint64, window time.Duration, t Topology) []Event {
+	r := rand.New(rand.NewPCG(seed, uint64(Rest[0])<<8|uint64(Farewell[0])))
+	events := make([]Event, r.IntN(_maxNews+1))
+	for i := range events {
+		events[i] = Event{
+			At: _quietStart + time.Duration(r.Float64()*r.Float64()*float64(window)), Kind: Farewell, Target: r.IntN(t.Workers),
+			Duration: _minNewsTime + time.Duration(r.Int64N(int64(_maxNewsTime-_minNewsTime))),
+		}
+		if r.IntN(2) == 0 {
+			events[i].Kind = Rest
+		}
+	}
+	return events
+}
+
 // drawEvent draws everything of an event except its time.
 func drawEvent(r *rand.Rand, t Topology) Event {
 	total := 0
--- a/soak/fault/fault_test.go
+++ b/soak/fault/fault_test.go
@@ -33,7 +33,7 @@
 			seen[e.Kind] = true
 		}
 	}
-	assert.Len(t, seen, 20)
+	assert.Len(t, seen, 22)
 }
 
 func TestShrinkFindsMinimalSchedule(t *testing.T) {
--- a/soak/play/event.go
+++ b/soak/play/event.go
@@ -84,6 +84,10 @@
 		r.workerHosts[e.Target].injectFaults(e.Mode, e.Share, e.Duration)
 	case fault.Limit:
 		r.workerHosts[e.Target].nameLimit(e.Share, e.Duration)
+	case fault.Farewell:
+		r.workerHosts[e.Target].sayFarewell(e.Duration)
+	case fault.Rest:
+		r.workerHosts[e.Target].askForRest(e.Duration)
 	case fault.Configure:
 		r.configure()
 	case fault.Evacuate:
--- a/soak/play/process.go
+++ b/soak/play/process.go
@@ -240,7 +240,7 @@
 
 // freeze suspends the process for a while.
 func (i *instance) freeze(d time.Duration) {
-	end := i.run.recordDisruption(check.Disruption{Instance: i.name, Cause: "freeze"})
+	end := i.run.recordDisruption(check.Disruption{Instance: i.name, Cause: check.Freezing})
 	defer end()
 	i.signal(syscall.SIGSTOP, false)
 	time.Sleep(d)
--- a/soak/play/worker.go
+++ b/soak/play/worker.go
@@ -28,6 +28,8 @@
 	// _limitRate is the highest limit that a worker names, in requests per second, about half
 	// of what it gets otherwise.
 	_limitRate = 15
+	// _refuseTime is how long a worker that asks for a pause refuses all requests.
+	_refuseTime = 700 * time.Millisecond
 	// _slowServiceTime is how long a request of the slow route takes.
 	_slowServiceTime = 1200 * time.Millisecond
 )
@@ -153,6 +155,29 @@
 	h.run.fail(h.startWorker(service, b.ID, _coldTime))
 }
 
+// sayFarewell has the worker say in its answers that it leaves, for longer than an instance
+// may take to act on it. Then it restarts under its name.
+func (h *workerHost) sayFarewell(longer time.Duration) {
+	if !h.lifecycle.TryLock() {
+		return
+	}
+	defer h.lifecycle.Unlock()
+	b, _, service := h.current()
+	b.SayLeaving()
+	h.run.sleep(h.run.log.Limits.Drain + longer)
+	h.setState("")
+	h.link.StopListening()
+	b.Close()
+	time.Sleep(_addressReuseDelay)
+	h.run.fail(h.startWorker(service, b.ID, _coldTime))
+}
+
+// askForRest has the worker refuse requests for a moment and ask for a pause.
+func (h *workerHost) askForRest(rest time.Duration) {
+	b, _, _ := h.current()
+	b.RefuseAndAskForRest(_refuseTime, rest)
+}
+
 // makeCold makes the worker cold again.
 func (h *workerHost) makeCold() {
 	if !h.lifecycle.TryLock() {
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -108,6 +108,15 @@
 	return events
 }
 
+// rests has all workers ask for a pause at once, so that objects find no other place.
+func rests() []fault.Event {
+	var events []fault.Event
+	for target := range 8 {
+		events = append(events, fault.Event{At: 5 * time.Second, Kind: fault.Rest, Target: target, Duration: 4 * time.Second})
+	}
+	return events
+}
+
 // limits returns events in which two workers name low limits.
 func limits() []fault.Event {
 	return []fault.Event{
@@ -199,6 +208,27 @@
 			[]Edit{{"permit/order.go", "if len(first) == 0 {", "if true {"}},
 			limits(),
 		},
+		{
+			"farewells are ignored", check.Farewell,
+			[]Edit{{_forward, "if result.Leaving {\n\t\ts.recordLeaving(rs)", "if false {\n\t\ts.recordLeaving(rs)"}},
+			[]fault.Event{
+				{At: time.Second, Kind: fault.Farewell, Target: 0, Duration: 4 * time.Second},
+				{At: time.Second, Kind: fault.Farewell, Target: 3, Duration: 4 * time.Second},
+			},
+		},
+		{
+			"a heartbeat takes a farewell back", check.Farewell,
+			[]Edit{{"worker/worker.go", "w.Entry, w.Revision, w.LastUpdate, w.ExpiresAt = e, revision, now, time.Time{}", "w.Entry, w.Revision, w.LastUpdate, w.ExpiresAt = e, revision, now, time.Time{}\n\tw.SaidLeavingAt = time.Time{}"}},
+			[]fault.Event{
+				{At: time.Second, Kind: fault.Farewell, Target: 0, Duration: 4 * time.Second},
+				{At: time.Second, Kind: fault.Farewell, Target: 3, Duration: 4 * time.Second},
+			},
+		},
+		{
+			"pauses are ignored", check.Rested,
+			[]Edit{{_placementState, "if r.Rest > 0 {\n\t\tp.startRest(now, s, w, r.Rest)", "if r.Rest > 0 {\n\t\t_ = w"}},
+			rests(),
+		},
 		{
 			"a stop aborts requests", check.Answered,
 			[]Edit{
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -67,6 +67,8 @@
 	LimitNamed  bool
 	SaidLeaving bool
 	RestAsked   time.Duration
+	// Born is the start of the worker's incarnation in Unix milliseconds.
+	Born int64
 	// Misdirected is set if the request was meant for another worker. Fault is the
 	// fault injected into the answer, or empty.
 	Misdirected bool
@@ -289,7 +291,7 @@
 	defer b.mu.Unlock()
 	expect := r.Header.Get("X-Expect-Instance")
 	v := &Visit{
-		RequestID: id, Method: r.Method, Path: r.URL.Path, Body: body,
+		RequestID: id, Method: r.Method, Path: r.URL.Path, Body: body, Born: b.started.UnixMilli(),
 		Worker: b.ID, Service: b.Service, Zone: b.Zone, At: time.Now(),
 		Cold: time.Now().After(b.coldFrom) && time.Now().Before(b.coldUntil), Misdirected: expect != "" && expect != b.ID, ServiceTime: b.ServiceTime(r.URL.Path),
 	}
