--- a/forward/forward.go
+++ b/forward/forward.go
@@ -198,7 +198,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Workers.Sweep(now)
-	s.placer.Forget(func(id string) bool { return s.state.Workers.Get(id) == nil })
+	s.placer.Forget(now, func(id string) bool { return s.state.Workers.Get(id) == nil })
 	s.pacer.Forget(now)
 	s.Permits.Sweep(now, s.hasEnded)
 	s.Suspects.Sweep(now)
--- a/placement/rest_test.go
+++ b/placement/rest_test.go
@@ -93,3 +93,15 @@
 	assert.WithinRange(t, c.RestsUntil, _start.Add(2*time.Second), _start.Add(2*time.Second+_restSpread))
 	assert.NotNil(t, p.Choose(_start.Add(2*time.Second+_restSpread+ResumeTime), requestFor("x"), workers).Worker)
 }
+
+// TestRemovalEndsAPause has the entry of a worker vanish in its pause and come back.
+func TestRemovalEndsAPause(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 2}, 1000)
+	p := newPlacer()
+	askForRest(p, _start, workers[0], 3*time.Second)
+	gone := func(id string) bool { return id == workers[0].ID }
+	p.Forget(_start.Add(time.Second), gone)
+	assert.True(t, p.Resting(_start.Add(2*time.Second), workers[0]))
+	p.Forget(_start.Add(time.Minute), gone)
+	assert.NotContains(t, p.known, workers[0].ID)
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -230,10 +230,10 @@
 }
 
 // Forget deletes the state of workers that were removed and have no request in
-// flight.
-func (p *Placer) Forget(removed func(id string) bool) {
+// flight. A worker that rests may be back before its pause ends.
+func (p *Placer) Forget(now time.Time, removed func(id string) bool) {
 	for id, s := range p.known {
-		if s.inFlight == 0 && removed(id) {
+		if s.inFlight == 0 && !now.Before(s.rest.until) && removed(id) {
 			delete(p.known, id)
 		}
 	}
