serve: a load report does not take back that a worker leaves

A refusal that says that the worker is draining was cleared by the next load report, which may lag. What an answer said holds now until the worker is at another address or no longer listed. backend.TestLaggingLoadReportTakesAFarewellBack failed before.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -102,11 +102,13 @@
 
 type worker struct {
 	Worker
-	since        time.Time
-	inFlight     int
-	othersBusy   float64
-	reportedAt   time.Time
+	since      time.Time
+	inFlight   int
+	othersBusy float64
+	reportedAt time.Time
+	// draining is what the last load report said, saidLeaving is set once an answer said so.
 	draining     bool
+	saidLeaving  bool
 	fullUntil    time.Time
 	errorRate    float64
 	failures     int
@@ -165,7 +167,7 @@
 		return
 	}
 	w.removed = false
-	// The draining flag stays, since the list lags behind the worker's own report.
+	// What the worker said stays, since the list lags behind it.
 	w.Worker = listed
 }
 
@@ -188,10 +190,11 @@
 	w.draining = draining
 }
 
-// MarkDraining records that a worker reported that it accepts no new requests.
+// MarkDraining records that a worker said in an answer that it accepts no new requests. Load
+// reports may lag and do not take it back.
 func (p *Pool) MarkDraining(name string) {
 	if w, ok := p.workers[name]; ok {
-		w.draining = true
+		w.saidLeaving = true
 	}
 }
 
@@ -336,7 +339,7 @@
 
 // up reports whether the worker is in service, whether or not it is full.
 func (w *worker) up(now time.Time) bool {
-	return !w.removed && !w.Leaving && !w.draining && !now.Before(w.ejectedUntil) && !now.Before(w.downUntil)
+	return !w.removed && !w.Leaving && !w.draining && !w.saidLeaving && !now.Before(w.ejectedUntil) && !now.Before(w.downUntil)
 }
 
 // usable reports whether the worker may be sent a request now.
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -240,3 +240,16 @@
 	require.True(t, ok)
 	assert.Equal(t, "w1", w.Name)
 }
+
+// TestLaggingLoadReportTakesAFarewellBack checks that a load report, which may lag, does not
+// clear what the worker said in an answer. A worker at another address is another one.
+func TestLaggingLoadReportTakesAFarewellBack(t *testing.T) {
+	p := newPool(1, 4)
+	p.MarkDraining("w0")
+	p.RecordLoad(_start, "w0", 0, false)
+	_, ok := p.Pick(_start, newRand(), backend.Limits{})
+	assert.False(t, ok)
+	p.UpdateWorkers(_start, []backend.Worker{{Name: "w0", Address: "elsewhere", Slots: 4}})
+	_, ok = p.Pick(_start.Add(time.Minute), newRand(), backend.Limits{})
+	assert.True(t, ok)
+}
