--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -77,7 +77,7 @@
 	var s *forward.Service
 	e := &withdrawing{t: t, adopt: func(id string) { s.AdoptLeaving("edge-2", worker.Leaving{Worker: id, Born: 1, AgeMs: 5}) }}
 	s = newService(t, &exchanger{results: []exchange.Result{ran(200)}}, 2)
-	e.exchanger.results = []exchange.Result{ran(200)}
+	e.results = []exchange.Result{ran(200)}
 	s.Exchange = e
 	assert.Equal(t, 200, s.Handle(t.Context(), request("/pay/x")).Status)
 	assert.Len(t, e.sent, 1, "only the other worker gets the request")
--- a/frontend/descriptors_test.go
+++ b/frontend/descriptors_test.go
@@ -34,8 +34,15 @@
 	return restore
 }
 
-// ask sends a request on a new connection and returns its answer.
-func ask(t *testing.T, address, path string) (net.Conn, *http.Response) {
+// head is the head of an answer.
+type head struct {
+	status int
+	header http.Header
+	closes bool
+}
+
+// ask sends a request on a new connection and returns the head of its answer.
+func ask(t *testing.T, address, path string) (net.Conn, head) {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
@@ -43,7 +50,7 @@
 	return c, askOn(t, c, path)
 }
 
-func askOn(t *testing.T, c net.Conn, path string) *http.Response {
+func askOn(t *testing.T, c net.Conn, path string) head {
 	t.Helper()
 	_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nId: q\r\n\r\n", path)
 	require.NoError(t, err)
@@ -51,7 +58,7 @@
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
 	_ = resp.Body.Close()
-	return resp
+	return head{resp.StatusCode, resp.Header, resp.Close}
 }
 
 // startServer serves callers on a loopback address.
@@ -97,7 +104,7 @@
 	for _, c := range conns[:30] {
 		_ = c.Close()
 	}
-	assert.Equal(t, http.StatusOK, askOn(t, conns[59], "/a").StatusCode)
+	assert.Equal(t, http.StatusOK, askOn(t, conns[59], "/a").status)
 	restore()
 }
 
@@ -110,13 +117,13 @@
 	address, _ := startServer(t, s)
 	var idle []net.Conn
 	for range limit {
-		c, resp := ask(t, address, "/a")
-		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		c, answer := ask(t, address, "/a")
+		assert.Equal(t, http.StatusOK, answer.status)
 		idle = append(idle, c)
 	}
 	for range limit {
-		_, resp := ask(t, address, "/b")
-		assert.Equal(t, http.StatusOK, resp.StatusCode, "an idle caller makes room")
+		_, answer := ask(t, address, "/b")
+		assert.Equal(t, http.StatusOK, answer.status, "an idle caller makes room")
 	}
 	_ = idle[0].SetReadDeadline(time.Now().Add(time.Second))
 	_, err := idle[0].Read(make([]byte, 1))
@@ -136,16 +143,17 @@
 		return h.running == limit
 	}, 3*time.Second, 10*time.Millisecond)
 	began := time.Now()
-	_, resp := ask(t, address, "/c")
-	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
-	assert.True(t, resp.Close)
+	_, refused := ask(t, address, "/c")
+	assert.Equal(t, http.StatusServiceUnavailable, refused.status)
+	assert.NotEmpty(t, refused.header.Get("Retry-After"))
+	assert.True(t, refused.closes)
 	assert.Less(t, time.Since(began), 500*time.Millisecond)
 	close(release)
 	for _, c := range busy {
 		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		require.NoError(t, err)
+		_ = resp.Body.Close()
 		assert.Equal(t, http.StatusOK, resp.StatusCode, "requests under way are answered")
 	}
 }
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -44,7 +44,7 @@
 func TestRequestsReachWorkerThatSaidItLeaves(t *testing.T) {
 	kv := standin.NewKV()
 	defer kv.Close()
-	workers := startBackends(t, kv, "s1", 4)
+	workers := startBackends(t, kv, 4)
 	kv.Write("op/config", configOf(5, "s1"))
 	instances := startFleet(t, kv, 3)
 	stop := make(chan struct{})
@@ -85,7 +85,7 @@
 		t.Run(rest.String(), func(t *testing.T) {
 			kv := standin.NewKV()
 			defer kv.Close()
-			workers := startBackends(t, kv, "s1", 4)
+			workers := startBackends(t, kv, 4)
 			kv.Write("op/config", configOf(5, "s1"))
 			instances := startFleet(t, kv, 3)
 			stop := make(chan struct{})
@@ -126,7 +126,7 @@
 func TestNeighboursUseAWorkerThatSaidItLeaves(t *testing.T) {
 	kv := standin.NewKV()
 	defer kv.Close()
-	workers := startBackends(t, kv, "s1", 2)
+	workers := startBackends(t, kv, 2)
 	kv.Write("op/config", configOf(5, "s1"))
 	instances := startFleet(t, kv, 2)
 	workers[0].SayLeaving()
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -47,13 +47,13 @@
 	return times
 }
 
-// startBackends starts workers of a service that answer at once.
-func startBackends(t *testing.T, kv *standin.KV, service string, n int) []*standin.Backend {
+// startBackends starts workers of service s1 that answer at once.
+func startBackends(t *testing.T, kv *standin.KV, n int) []*standin.Backend {
 	t.Helper()
 	list := make([]*standin.Backend, n)
 	for i := range list {
 		list[i] = &standin.Backend{
-			ID: fmt.Sprint("i-", i), Service: service, Zone: []string{"a", "b"}[i%2], Slots: 8, Queue: 16,
+			ID: fmt.Sprint("i-", i), Service: "s1", Zone: []string{"a", "b"}[i%2], Slots: 8, Queue: 16,
 			ServiceTime: func(string) time.Duration { return 5 * time.Millisecond },
 		}
 		require.NoError(t, list[i].Listen())
@@ -117,7 +117,7 @@
 		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
 			kv := standin.NewKV()
 			defer kv.Close()
-			workers := startBackends(t, kv, "s1", 4)
+			workers := startBackends(t, kv, 4)
 			kv.Write("op/config", configOf(5, "s1"))
 			instances := make([]*instance, 9)
 			for i := range instances {
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -135,7 +135,9 @@
 	good := suspect.End{Content: 1, Worker: "i-1", Born: 1, RanMs: 5, AgeMs: 5}
 	assert.True(t, suspect.News{Ended: []suspect.End{good}}.Valid())
 	for _, bad := range []suspect.End{
-		{Content: 1, Born: 1}, {Content: 1, Worker: "i-1", RanMs: -1}, {Content: 1, Worker: "i-1", AgeMs: -1},
+		{Content: 1, Born: 1},
+		{Content: 1, Worker: "i-1", RanMs: -1},
+		{Content: 1, Worker: "i-1", AgeMs: -1},
 		{Content: 1, Worker: "i-1", AgeMs: 1 << 40},
 	} {
 		assert.False(t, suspect.News{Ended: []suspect.End{good, bad}}.Valid())
