--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -37,11 +37,11 @@
 // workerCheck finds out whether an incarnation of a worker ended, for all requests that broke
 // there.
 type workerCheck struct {
-	done chan struct{}
-	// broken are the requests that broke, with AgeMs at the time of check.
+	done   chan struct{}
 	broken []brokenRequest
 }
 
+// brokenRequest is a request that broke at a time, after the worker had it for ran.
 type brokenRequest struct {
 	id      string
 	content suspect.Content
@@ -49,13 +49,14 @@
 	at      time.Time
 }
 
+// incarnation is one start of a worker.
 type incarnation struct {
 	worker string
 	born   int64
 }
 
-// mayAttempt returns an empty string if a request may be sent to a worker, or else why not,
-// and after what time a caller may return.
+// mayAttempt returns an empty reason if the content of a request does not speak against sending
+// it, or else the reason and the time after which a caller may return.
 func (s *Service) mayAttempt(rs *requestState) (relay.Reason, time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
@@ -108,6 +109,7 @@
 	s.Suspects.EndTrial(contentOf(rs.request))
 }
 
+// recordServed clears the content of a request that a worker served.
 func (s *Service) recordServed(rs *requestState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -210,7 +210,7 @@
 		},
 		{
 			"farewells are ignored", check.Farewell,
-			[]Edit{{_forward, "if result.Leaving {\n\t\ts.recordLeaving(rs)", "if false {\n\t\ts.recordLeaving(rs)"}},
+			[]Edit{{"forward/attempt.go", "if result.Leaving {\n\t\ts.recordLeaving(rs)", "if false {\n\t\ts.recordLeaving(rs)"}},
 			[]fault.Event{
 				{At: time.Second, Kind: fault.Farewell, Target: 0, Duration: 4 * time.Second},
 				{At: time.Second, Kind: fault.Farewell, Target: 3, Duration: 4 * time.Second},
