After a pause, objects return to their worker over half a second

Cause: a second of return beside pauses of a second costs much where all workers of a service ask for one. Change: half a second.

--- a/placement/rest.go
+++ b/placement/rest.go
@@ -12,7 +12,7 @@
 const (
 	// ResumeTime is the time after the pause of a worker in which its objects return to it
 	// one after the other: all at once would fill it again.
-	ResumeTime = time.Second
+	ResumeTime = 500 * time.Millisecond
 	// _restSpread is the longest time by which an instance extends a pause, at random, so
 	// that not all instances return at once.
 	_restSpread = 200 * time.Millisecond
