--- a/permitfeed/permitfeed_test.go
+++ b/permitfeed/permitfeed_test.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	_waitTimeout  = 10 * time.Second
-	_pollInterval = 10 * time.Millisecond
+	_waitTimeout = 10 * time.Second
+	// _answerTimeout is how long a request waits for the answer of an issuer.
+	_answerTimeout = 250 * time.Millisecond
+	_pollInterval  = 10 * time.Millisecond
 )
 
 func freeAddress(t *testing.T) string {
@@ -70,7 +72,11 @@
 	assert.Eventually(t, func() bool {
 		verdict, pending := asker.Take(time.Now(), w, true)
 		if verdict == permit.Pending {
-			<-pending
+			// An answer may be lost, as the issuer's socket may not be open yet.
+			select {
+			case <-pending:
+			case <-time.After(_answerTimeout):
+			}
 			verdict, _ = asker.Take(time.Now(), w, false)
 		}
 		return verdict == permit.Granted
