--- /dev/null
+++ b/review/rig/client.go
@@ -0,0 +1,154 @@
+//go:build review
+
+package rig
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+var _ids atomic.Int64
+
+// NewID returns an ID that no other request of this run has.
+func NewID() string {
+	return fmt.Sprintf("%016x", time.Now().UnixNano()^_ids.Add(1)<<48)
+}
+
+// Attempt is one attempt of a client, as the client saw it.
+type Attempt struct {
+	ID     string
+	Method string
+	Path   string
+	// To is the address of the instance. Kept is set if the connection had served a request before.
+	To   string
+	Kept bool
+	// Began is when the client began to send, Sent when it had sent all, zero if it could not.
+	Began time.Time
+	Sent  time.Time
+	Ended time.Time
+	// Status is that of a complete answer, 0 if there was none. Err says why not.
+	Status int
+	Err    string
+	// Own is set if the client itself gave up at its deadline.
+	Own bool
+}
+
+// Conn is a kept connection of a client.
+type Conn struct {
+	net.Conn
+	reader *bufio.Reader
+	To     string
+	used   bool
+}
+
+// Open connects to an instance.
+func Open(address string) (*Conn, error) {
+	c, err := Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// What the kernel of a client holds for it does not count at the instance.
+		_ = tcp.SetReadBuffer(256 << 10)
+	}
+	return &Conn{Conn: c, reader: bufio.NewReader(c), To: address}, nil
+}
+
+// Request is what a client sends.
+type Request struct {
+	Method   string
+	Host     string
+	Path     string
+	Object   string
+	Deadline time.Duration
+	// Size is the length of the body, sent at BytesPerSecond if that is not zero.
+	Size           int
+	BytesPerSecond int
+	// ReadPerSecond is how fast the answer is read, in bytes a second, or zero.
+	ReadPerSecond int
+}
+
+// Do sends a request and reads its answer. closed reports whether the connection can't be used
+// any more.
+func (c *Conn) Do(r Request) (a Attempt, closed bool) {
+	a = Attempt{ID: NewID(), Method: r.Method, Path: r.Path, To: c.To, Kept: c.used, Began: time.Now()}
+	defer func() { a.Ended = time.Now() }()
+	limit := a.Began.Add(r.Deadline)
+	_ = c.SetDeadline(limit)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Affinity-Key: %s\r\nX-Deadline-Ms: %d\r\n",
+		r.Method, r.Path, r.Host, a.ID, r.Object, r.Deadline.Milliseconds())
+	if r.Size > 0 {
+		head += fmt.Sprintf("Content-Length: %d\r\n", r.Size)
+	} else if r.Method == http.MethodPost {
+		head += "Content-Length: 0\r\n"
+	}
+	_, err := io.WriteString(c, head+"\r\n")
+	if err == nil {
+		err = c.sendBody(r)
+	}
+	if err == nil {
+		a.Sent = time.Now()
+	}
+	resp, readErr := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if readErr == nil {
+		readErr = readBody(resp.Body, r.ReadPerSecond)
+	}
+	if readErr != nil {
+		a.Err = readErr.Error()
+		if err != nil {
+			a.Err = "send: " + err.Error()
+		}
+		a.Own = !time.Now().Before(limit)
+		_ = c.Close()
+		return a, true
+	}
+	a.Status, c.used = resp.StatusCode, true
+	if resp.Close || err != nil {
+		_ = c.Close()
+		return a, true
+	}
+	return a, false
+}
+
+func readBody(body io.Reader, perSecond int) error {
+	const step = 64 << 10
+	began := time.Now()
+	for read := 0; ; {
+		n, err := io.CopyN(io.Discard, body, step)
+		read += int(n)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if perSecond > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(read) / float64(perSecond) * float64(time.Second)))))
+		}
+	}
+}
+
+func (c *Conn) sendBody(r Request) error {
+	const step = 64 << 10
+	piece := make([]byte, step)
+	for i := range piece {
+		piece[i] = byte('a' + i%26)
+	}
+	began := time.Now()
+	for sent := 0; sent < r.Size; {
+		n := min(step, r.Size-sent)
+		if _, err := c.Write(piece[:n]); err != nil {
+			return err
+		}
+		sent += n
+		if r.BytesPerSecond > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / float64(r.BytesPerSecond) * float64(time.Second)))))
+		}
+	}
+	return nil
+}
