--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -152,3 +154,85 @@
 	}
 	return nil
 }
+
+// Client asks the directory where to connect, as often as the answers say, and keeps one
+// connection open.
+type Client struct {
+	D      *Deployment
+	Host   string
+	Zone   Zone
+	Number int
+	// Keeps is set for a client that keeps an answer of the directory three times as long.
+	Keeps bool
+
+	conn   *Conn
+	failed map[string]time.Time
+
+	mu        sync.Mutex
+	addresses []string
+}
+
+// _resolveTime is the time for which a client keeps an answer of the directory (ttl_s).
+const _resolveTime = 2 * time.Second
+
+// Follow asks the directory until a time.
+func (c *Client) Follow(until time.Time) {
+	keep := _resolveTime
+	if c.Keeps {
+		keep *= 3
+	}
+	for time.Now().Before(until) {
+		pause := keep
+		if addresses := c.D.Resolve(c.Host, c.Zone); len(addresses) > 0 {
+			c.mu.Lock()
+			c.addresses = addresses
+			c.mu.Unlock()
+		} else {
+			pause = 200 * time.Millisecond
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Do sends a request. It returns false if there was no connection.
+func (c *Client) Do(r Request) (Attempt, bool) {
+	if c.failed == nil {
+		c.failed = make(map[string]time.Time)
+	}
+	c.mu.Lock()
+	addresses := c.addresses
+	c.mu.Unlock()
+	if c.conn != nil && !slices.Contains(addresses, c.conn.To) {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+	if c.conn == nil && !c.connect(addresses) {
+		return Attempt{}, false
+	}
+	to := c.conn.To
+	a, closed := c.conn.Do(r)
+	if closed {
+		if a.Status == 0 {
+			c.failed[to] = time.Now()
+		}
+		c.conn = nil
+	}
+	return a, true
+}
+
+func (c *Client) connect(addresses []string) bool {
+	for i := range addresses {
+		address := addresses[(c.Number+i)%len(addresses)]
+		if at, ok := c.failed[address]; ok && time.Since(at) < _resolveTime {
+			continue
+		}
+		conn, err := Open(address)
+		if err != nil {
+			c.failed[address] = time.Now()
+			continue
+		}
+		c.conn = conn
+		return true
+	}
+	return false
+}
