--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wigeonlock/wigeonlock/standin"
 )
 
 var _ids atomic.Int64
@@ -82,14 +85,15 @@
 	defer func() { a.Ended = time.Now() }()
 	limit := a.Began.Add(r.Deadline)
 	_ = c.SetDeadline(limit)
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Affinity-Key: %s\r\nX-Deadline-Ms: %d\r\n",
-		r.Method, r.Path, r.Host, a.ID, r.Object, r.Deadline.Milliseconds())
+	var head bytes.Buffer
+	standin.WriteHead(&head, r.Method, r.Path, r.Host, a.ID, r.Object, r.Deadline)
 	if r.Size > 0 {
-		head += fmt.Sprintf("Content-Length: %d\r\n", r.Size)
+		_, _ = fmt.Fprintf(&head, "Content-Length: %d\r\n", r.Size)
 	} else if r.Method == http.MethodPost {
-		head += "Content-Length: 0\r\n"
+		head.WriteString("Content-Length: 0\r\n")
 	}
-	_, err := io.WriteString(c, head+"\r\n")
+	head.WriteString("\r\n")
+	_, err := c.Write(head.Bytes())
 	if err == nil {
 		err = c.sendBody(r)
 	}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -3,7 +3,6 @@
 package rig
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -12,8 +11,14 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/wigeonlock/wigeonlock/platform"
+	"github.com/wigeonlock/wigeonlock/standin"
 )
 
+// _names are the names of the headers between instances and workers.
+var _names = platform.WorkerHeaders()
+
 // Run is a request that reached a worker.
 type Run struct {
 	ID      string
@@ -52,15 +57,13 @@
 	d        *Deployment
 	listener net.Listener
 	server   *http.Server
-	born     int64
+	entry    *standin.Backend
 	slots    chan struct{}
 	stop     chan struct{}
 
-	mu       sync.Mutex
-	waiting  int
-	sequence int
-	state    string
-	runs     []*Run
+	mu      sync.Mutex
+	waiting int
+	runs    []*Run
 }
 
 // AddWorker starts a worker and registers it in the store.
@@ -69,7 +72,16 @@
 	if err != nil {
 		return err
 	}
-	w.d, w.listener, w.born, w.state = d, l, time.Now().UnixMilli(), "ready"
+	w.d, w.listener = d, l
+	// The project's stand-in writes the entry. It serves nothing itself.
+	w.entry = &standin.Backend{
+		ID: w.ID, Service: w.Service, Zone: w.Zone, Slots: w.Slots, AdvertisedAddress: l.Addr().String(),
+		ServiceTime: func(string) time.Duration { return 0 },
+	}
+	if err := w.entry.Listen(); err != nil {
+		return err
+	}
+	w.entry.Close()
 	w.slots, w.stop = make(chan struct{}, w.Slots), make(chan struct{})
 	w.server = &http.Server{Handler: http.HandlerFunc(w.handle), IdleTimeout: 10 * time.Second}
 	go func() { _ = w.server.Serve(l) }()
@@ -110,19 +122,8 @@
 	_ = w.server.Close()
 }
 
-// Beat writes the worker's entry.
-func (w *Worker) Beat() {
-	w.mu.Lock()
-	w.sequence++
-	entry := map[string]any{
-		"address": w.Address(), "born": w.born,
-		"info":   map[string]any{"service": w.Service, "zone": w.Zone, "slots": w.Slots, "version": "v1"},
-		"status": map[string]any{"state": w.state, "sequence": w.sequence, "cold_left_ms": 0},
-	}
-	w.mu.Unlock()
-	data, _ := json.Marshal(entry)
-	w.d.KV.Write("servers/"+w.ID, string(data))
-}
+// Beat writes the worker's entry, with the next count of its heartbeats.
+func (w *Worker) Beat() { w.entry.Register(w.d.KV, "ready") }
 
 // Runs returns the requests that reached the worker.
 func (w *Worker) Runs() []Run {
@@ -147,16 +148,16 @@
 }
 
 func (w *Worker) handle(rw http.ResponseWriter, r *http.Request) {
-	run := &Run{ID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.URL.Path, Worker: w.ID, Arrived: time.Now()}
+	run := &Run{ID: r.Header.Get(_names.RequestID), Method: r.Method, Path: r.URL.Path, Worker: w.ID, Arrived: time.Now()}
 	w.mu.Lock()
 	w.runs = append(w.runs, run)
 	w.mu.Unlock()
-	rw.Header().Set("X-Request-Id", run.ID)
+	rw.Header().Set(_names.RequestID, run.ID)
 	rw.Header().Set("Keep-Alive", "timeout=10")
 	if w.Limit > 0 {
-		rw.Header().Set("Server-Limit", fmt.Sprint(w.Limit))
+		rw.Header().Set(_names.Limit, fmt.Sprint(w.Limit))
 	}
-	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != w.ID {
+	if expect := r.Header.Get(_names.Expect); expect != "" && expect != w.ID {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -178,7 +179,7 @@
 	w.mu.Unlock()
 	if full {
 		w.load(rw)
-		rw.Header().Set("X-Not-Executed", "1")
+		rw.Header().Set(_names.NotRun, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -213,7 +214,7 @@
 	if w.Answer != nil {
 		body = w.Answer(r)
 	}
-	rw.Header().Set("X-Server-Stamp", w.ID+"."+run.ID)
+	rw.Header().Set(standin.StampHeader, w.ID+"."+run.ID)
 	rw.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	_, _ = rw.Write(body)
 }
@@ -222,7 +223,7 @@
 	w.mu.Lock()
 	waiting := w.waiting
 	w.mu.Unlock()
-	rw.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", len(w.slots), waiting, w.Slots))
+	rw.Header().Set(_names.Load, fmt.Sprintf("%d,%d,%d", len(w.slots), waiting, w.Slots))
 }
 
 // ErrNoAnswer is returned by Client for a connection that ended without a complete answer.
