--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -125,14 +125,17 @@
 )
 
 // FreeAddress returns a loopback address that is free for TCP and UDP, and that no other call
-// returned. Its port lies below those that the system gives to outgoing connections.
+// returned. Its host belongs to this process, so that cases played at once don't clash, and its
+// port lies below those that the system gives to outgoing connections.
 func FreeAddress() string {
 	const from, ports = 20000, 12000
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 1+pid&127)
 	_portsMu.Lock()
 	defer _portsMu.Unlock()
 	for {
 		port := from + rand.IntN(ports)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", host, port)
 		if _portsUsed[port] {
 			continue
 		}
@@ -350,10 +353,11 @@
 		e.Signal(syscall.SIGKILL)
 		<-e.Exited()
 		time.Sleep(500 * time.Millisecond)
+		// Close must not miss a process that starts meanwhile.
 		d.mu.Lock()
-		stopped = d.stopped
+		ended := d.stopped || e.Start() != nil
 		d.mu.Unlock()
-		if stopped || e.Start() != nil {
+		if ended {
 			return
 		}
 	}
