--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/suspect"
+	"github.com/wigeonlock/wigeonlock/team"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -269,6 +271,11 @@
 	// failure is the server error of an earlier worker. It is returned if no other
 	// worker gives an answer.
 	failure *relay.Answer
+	// team is the team of the caller, or nil if the configuration holds no teams or the route
+	// is open.
+	team *team.Team
+	// releases give back what the request took, in reverse order.
+	releases []func()
 }
 
 // Handle forwards a request to workers and returns its answer or a refusal,
@@ -296,11 +303,40 @@
 	rs.returning = s.isReturn(rs)
 	ctx, cancel := s.withDeadline(ctx, rs)
 	defer cancel()
-	answer := s.forward(ctx, rs)
+	defer rs.releaseAll()
+	answer := s.admit(ctx, rs)
+	if answer == nil {
+		answer = s.forward(ctx, rs)
+	}
 	s.log(rs, answer)
 	return answer
 }
 
+// admit takes what a request needs before a worker is chosen, in this order: its team, the
+// quota of the team, and memory for its answer. It returns the refusal if one of them is
+// missing, or nil.
+func (s *Service) admit(ctx context.Context, rs *requestState) *relay.Answer {
+	for _, step := range []func(context.Context, *requestState) *relay.Answer{s.identifyTeam, s.takeQuota, s.takeMemory} {
+		if refusal := step(ctx, rs); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+// onRelease registers what gives back something that the request took. It is called once, when
+// the request ends, whichever way it ends.
+func (rs *requestState) onRelease(f func()) {
+	rs.releases = append(rs.releases, f)
+}
+
+func (rs *requestState) releaseAll() {
+	for _, release := range slices.Backward(rs.releases) {
+		release()
+	}
+	rs.releases = nil
+}
+
 // stopsBefore reports whether the instance may end before a request is answered that must not
 // run twice: cut then, its caller could not tell whether it ran.
 func (s *Service) stopsBefore(rs *requestState) bool {
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -56,6 +57,10 @@
 	lease     store.Lease
 	writtenAt time.Time
 	ended     bool
+
+	// heldUntil is until when the store keeps the registration at least: a lease time after the
+	// last call that renewed it was sent. It is nil if the instance is not registered.
+	heldUntil atomic.Pointer[time.Time]
 }
 
 func instanceOf(key string) (string, bool) {
@@ -86,6 +91,22 @@
 	return order, order != 0 || first.Registrations > 0
 }
 
+// held reports until when the store keeps the registration at least. Other instances may count
+// this one as gone afterwards, whether it can hear of that or not. The time is zero if the
+// instance is not registered.
+func (r *registration) held() time.Time {
+	if at := r.heldUntil.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// hold records that the lease was renewed by a call that was sent at a time.
+func (r *registration) hold(sent time.Time) {
+	until := sent.Add(_registrationTTL)
+	r.heldUntil.Store(&until)
+}
+
 // wake makes run check the registration at once.
 func (r *registration) wake() {
 	select {
@@ -139,10 +160,15 @@
 		return nil
 	}
 	if r.lease != "" {
+		sent := time.Now()
 		err := r.registry.Renew(ctx, r.lease)
-		if errors.Is(err, store.ErrNotFound) {
+		switch {
+		case err == nil:
+			r.hold(sent)
+		case errors.Is(err, store.ErrNotFound):
 			r.lease = ""
-		} else if err != nil {
+			r.heldUntil.Store(nil)
+		default:
 			return err
 		}
 	}
@@ -154,7 +180,9 @@
 
 // register writes the key of the instance. The caller holds mu.
 func (r *registration) register(ctx context.Context) error {
+	granted := time.Time{}
 	if r.lease == "" {
+		granted = time.Now()
 		lease, err := r.registry.Grant(ctx, _registrationTTL)
 		if err != nil {
 			return err
@@ -172,6 +200,9 @@
 	}
 	if err == nil {
 		r.writtenAt = time.Now()
+		if !granted.IsZero() {
+			r.hold(granted)
+		}
 	}
 	return err
 }
@@ -182,6 +213,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended = true
+	r.heldUntil.Store(nil)
 	if r.lease == "" {
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,9 @@
 	TooManyCallers     Reason = "tooManyCallers"
 	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
+	UnknownKey         Reason = "unknownKey"
+	TeamQuota          Reason = "teamQuota"
+	NoMemory           Reason = "noMemory"
 )
 
 // Header is one header field.
@@ -156,6 +159,10 @@
 	Host string
 	// Object names the object that the request concerns; empty if unspecified.
 	Object string
+	// Key is the key by which the caller names its team; it is not among Header. Team is the
+	// name of that team, which workers are told, or empty.
+	Key  string
+	Team string
 	// TimeLeft is how long the caller waits from Received on; zero if
 	// unspecified.
 	TimeLeft time.Duration
