Teams: the key of a caller names its team, whose homes bind

The key and a team that the caller names never reach workers. Homes of route and team both bind. Routes may be open. Kind upload runs at most once and is large.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/team"
 )
 
 // Kind classifies the requests of a route.
@@ -32,16 +34,18 @@
 	NonIdempotent Kind = "nonIdempotent"
 	// Download requests are idempotent and have large answers.
 	Download Kind = "download"
+	// Upload requests have large bodies and run at most once.
+	Upload Kind = "upload"
 )
 
 // Repeatable reports whether a request of this kind may run more than once.
 func (k Kind) Repeatable() bool {
-	return k != NonIdempotent
+	return k == Idempotent || k == Download
 }
 
-// Large reports whether the answers of this kind are large.
+// Large reports whether the bodies or the answers of this kind are large.
 func (k Kind) Large() bool {
-	return k == Download
+	return k == Download || k == Upload
 }
 
 // Share is the weight of a service in the traffic split of a route.
@@ -69,6 +73,8 @@
 	Sticky bool
 	// Homes lists the regions that may serve the route; empty means all.
 	Homes []string
+	// Open is set if callers need no key. It matters only if the catalog has teams.
+	Open bool
 	// Shares are the services with their weights; a plain route has one.
 	Shares []Share
 }
@@ -119,10 +125,13 @@
 // Version orders catalogs; a higher version replaces a lower one.
 type Version uint64
 
-// Catalog is one version of all routes, services and limits. It is immutable.
+// Catalog is one version of all routes, services, limits and teams. It is immutable.
 type Catalog struct {
-	Version  Version
-	Limits   Limits
+	Version Version
+	Limits  Limits
+	// Teams are the teams whose keys callers need. It is nil if callers need none, and set
+	// before the catalog is used.
+	Teams    *team.Roster
 	services map[string]Service
 	hosts    map[string]map[string]*Route
 	// homes holds, by host, the regions that all routes with Homes have in common.
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -165,6 +165,9 @@
 		writeField(w, p.HeaderNames.TimeLeft, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
 	}
 	writeField(w, p.HeaderNames.Expect, t.ID)
+	if r.Team != "" {
+		writeField(w, p.HeaderNames.Team, r.Team)
+	}
 	if r.Body.Length > 0 || r.HasLength {
 		writeField(w, "Content-Length", strconv.FormatInt(r.Body.Length, 10))
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -75,6 +75,8 @@
 	TimeLeft string
 	// Expect is the ID of the worker that the request is for.
 	Expect string
+	// Team is the name of the caller's team.
+	Team string
 	// NotRun marks the answer of a worker that did not run the request.
 	NotRun string
 	// Load is the load report of a worker: running, waiting and slots, separated
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -22,6 +22,7 @@
 
 var _names = exchange.HeaderNames{
 	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load", Limit: "Limit",
+	Team: "Team",
 }
 
 // worker answers each request with the bytes that a script returns; a nil answer
@@ -137,6 +138,12 @@
 	assert.Equal(t, "h.example", r.Host)
 	assert.Equal(t, "i-1", r.Header.Get("Expect-Worker"))
 	assert.NotEmpty(t, r.Header.Get("Time-Left"))
+	assert.Empty(t, r.Header.Values("Team"))
+
+	named := request("two")
+	named.Team = "office"
+	do(t, p, w, named)
+	assert.Equal(t, []string{"office"}, w.requests[1].Header.Values("Team"))
 }
 
 func TestConnectionIsReusedOnlyWhenClean(t *testing.T) {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -38,7 +38,7 @@
 		Again:           again,
 		Returning:       rs.returning,
 		Large:           rs.route.Kind.Large(),
-		MayServe:        rs.route.MayServe,
+		MayServe:        rs.mayServe,
 		Closed:          func(zone string) bool { return s.state.Closed[zone] },
 		RegionInstances: max(s.state.Neighbours, 1),
 		Instances:       max(s.state.Neighbours, 1) * s.regions,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -106,6 +106,10 @@
 	// instance that it leaves. It must not block.
 	Left func(l worker.Leaving)
 
+	// ReadAt, if set, returns when the store was last read, by this instance or for it. Until
+	// then it knows which keys teams hold.
+	ReadAt func() time.Time
+
 	// Permits keeps the limits that workers name. If it is nil, Prepare sets one of an
 	// instance that is alone.
 	Permits *permit.Book
@@ -206,13 +210,14 @@
 	s.Suspects.Sweep(now)
 }
 
-func (s *Service) route(r *relay.Request) (route *catalog.Route, known bool) {
+// route returns the active catalog, or nil, and the route of a request in it, or nil.
+func (s *Service) route(r *relay.Request) (*catalog.Catalog, *catalog.Route) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state.Catalog == nil {
-		return nil, false
+		return nil, nil
 	}
-	return s.state.Catalog.Match(hostOf(r.Host), pathOf(r.URI)), true
+	return s.state.Catalog, s.state.Catalog.Match(hostOf(r.Host), pathOf(r.URI))
 }
 
 // hostOf returns the host without its port.
@@ -231,7 +236,7 @@
 // Exclusive reports whether a request must not run concurrently with other requests
 // of its connection, because it must not run twice.
 func (s *Service) Exclusive(r *relay.Request) bool {
-	route, _ := s.route(r)
+	_, route := s.route(r)
 	return route != nil && !route.Kind.Repeatable()
 }
 
@@ -239,6 +244,8 @@
 type requestState struct {
 	request *relay.Request
 	route   *catalog.Route
+	// teams are those of the configuration of the route.
+	teams   *team.Roster
 	service string
 	// deadline is when the request must be answered.
 	deadline time.Time
@@ -281,9 +288,9 @@
 // Handle forwards a request to workers and returns its answer or a refusal,
 // never nil.
 func (s *Service) Handle(ctx context.Context, r *relay.Request) *relay.Answer {
-	route, known := s.route(r)
+	known, route := s.route(r)
 	if route == nil {
-		if !known {
+		if known == nil {
 			return s.refuse(r, relay.NoLists, time.Time{})
 		}
 		countRefusal(relay.UnknownRoute)
@@ -296,7 +303,9 @@
 	if r.TimeLeft > 0 {
 		timeout = min(timeout, r.TimeLeft)
 	}
-	rs := &requestState{request: r, route: route, service: route.Pick(rand.Float64()), deadline: r.Received.Add(timeout)}
+	rs := &requestState{
+		request: r, route: route, teams: known.Teams, service: route.Pick(rand.Float64()), deadline: r.Received.Add(timeout),
+	}
 	if s.stopsBefore(rs) {
 		return s.refuseAtOnce(r, relay.Stopping)
 	}
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -55,7 +55,7 @@
 
 func newDurations() map[catalog.Kind]*durations {
 	all := make(map[catalog.Kind]*durations)
-	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Download} {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Download, catalog.Upload} {
 		d := &durations{outcomes: make(map[retry.Outcome]*metrics.Histogram), phases: make(map[phase]*metrics.Histogram)}
 		for _, o := range []retry.Outcome{retry.Run, retry.NotRun, retry.Unknown} {
 			d.outcomes[o] = metrics.NewHistogram(`wigeonlock_request_seconds{kind="` + string(kind) + `",outcome="` + string(o) + `"}`)
@@ -102,7 +102,7 @@
 		return
 	}
 	s.Log.Info("request ended", zap.String("request", rs.request.ID), zap.String("route", rs.route.Name),
-		zap.String("service", rs.service), zap.String("object", rs.request.Object),
+		zap.String("service", rs.service), zap.String("team", rs.request.Team), zap.String("object", rs.request.Object),
 		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Strings("tried", rs.tried), zap.String("notAgain", string(rs.noRetry)), zap.Float64("load", rs.choice.Load),
 		zap.Int("rank", rs.choice.Rank), zap.String("full", rs.choice.FullWorker), zap.Stringers("heldBack", rs.holds), zap.Duration("newsAgeMs", rs.updateAge),
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -308,6 +308,10 @@
 		Object: req.Header.Get(c.server.HeaderNames.Object), Received: time.Now(), Body: &relay.Body{},
 		CloseConn: req.Close,
 	}
+	// Two keys name no team.
+	if keys := req.Header.Values(c.server.HeaderNames.Key); len(keys) == 1 {
+		r.Key = keys[0]
+	}
 	if r.URI == "" || r.URI[0] != '/' || req.Method == http.MethodConnect {
 		return nil, badRequest("request target must be a path")
 	}
@@ -323,7 +327,7 @@
 	}
 	r.Header = make([]relay.Header, 0, len(req.Header))
 	for name, values := range req.Header {
-		if name == c.server.HeaderNames.RequestID || name == c.server.HeaderNames.TimeLeft {
+		if c.server.HeaderNames.isOwn(name) {
 			continue
 		}
 		for _, v := range values {
@@ -334,6 +338,11 @@
 	return r, nil
 }
 
+// isOwn reports whether a header is not passed on as the caller sent it.
+func (n *HeaderNames) isOwn(name string) bool {
+	return name == n.RequestID || name == n.TimeLeft || name == n.Key || name == n.Team
+}
+
 func (c *conn) readBody(
 	req *http.Request, r *relay.Request, limits Limits, previous <-chan struct{},
 ) (*relay.Request, *requestError) {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -61,6 +61,10 @@
 	// TimeLeft is the time until the deadline of a request, in milliseconds.
 	TimeLeft string
 	Object   string
+	// Key is the key of the caller's team, and Team the name that workers are told. Neither is
+	// passed on as the caller sent it.
+	Key  string
+	Team string
 }
 
 // Handler answers requests. Its answers have a status and a complete body.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,6 +141,7 @@
 		Instance: s.Instance, Neighbours: g.neighbours, Peers: &changefeed.Client{Instance: s.Instance},
 		Start: g.start, Order: &platform.Order{Product: compareRegistrations}, Era: g.client.Era,
 	}
+	g.forward.ReadAt = g.watcher.ReadAt
 	g.changefeed = &changefeed.Server{Source: g.watcher}
 	g.registration = &registration{
 		registry: g.client, member: g.directory.Self, log: g.Log, confirmed: g.registered, ready: g.Ready,
@@ -333,7 +334,8 @@
 	g.mu.Lock()
 	g.limits, g.configuredAt = frontend.Limits(c.Limits), time.Now()
 	g.mu.Unlock()
-	g.Log.Info("configuration activated", zap.Uint64("version", uint64(c.Version)), zap.Int("routes", c.Routes()))
+	g.Log.Info("configuration activated", zap.Uint64("version", uint64(c.Version)), zap.Int("routes", c.Routes()),
+		zap.Int("teams", len(c.Teams.Teams())), zap.Int("keys", c.Teams.Keys()))
 }
 
 // ZoneClosed closes a zone for new requests or opens it again. The workers of a zone
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,8 @@
 	Stopping           Reason = "stopping"
 	Internal           Reason = "internal"
 	UnknownKey         Reason = "unknownKey"
+	UnconfirmedKey     Reason = "unconfirmedKey"
+	NoHomeRegion       Reason = "noHomeRegion"
 	TeamQuota          Reason = "teamQuota"
 	NoMemory           Reason = "noMemory"
 )
