Read load reports that state a pace

Cause: a report of a fourth figure, how long work takes on the machine, was dropped whole, so that placement knew no load of such workers. Change: the fourth figure is kept as Pace, further ones are ignored; a report that is not understood is counted in wigeonlock_unusable_loads_total.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -25,6 +25,10 @@
 	// with the head, before the answer is read. A longer body is written while the
 	// answer is read, since the worker may answer before it has read the body.
 	_maxSingleWrite = 16 << 10
+	// _loadFigures is the number of figures of a load report. The last may be missing.
+	_loadFigures = 4
+	// _usualPace is the fourth figure of a load report while work takes as long as usual.
+	_usualPace = 100
 )
 
 var (
@@ -295,20 +299,31 @@
 	return a
 }
 
+// parseLoad returns the load report of an answer, or nil if it has none. Figures after the
+// known ones are ignored. A report that is not understood is counted, and what is understood
+// of it is used.
 func parseLoad(text string) *Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if text == "" {
 		return nil
 	}
-	var values [3]int
-	for i, part := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(part))
+	parts := strings.Split(text, ",")
+	var values [_loadFigures]int
+	known := 0
+	for known < min(len(parts), _loadFigures) {
+		v, err := strconv.Atoi(strings.TrimSpace(parts[known]))
 		if err != nil || v < 0 {
-			return nil
+			break
 		}
-		values[i] = v
+		values[known] = v
+		known++
+	}
+	if known < _loadFigures-1 || known < min(len(parts), _loadFigures) {
+		_badLoads.Inc()
+	}
+	if known < _loadFigures-1 {
+		return nil
 	}
-	return &Load{Running: values[0], Waiting: values[1], Slots: values[2]}
+	return &Load{Running: values[0], Waiting: values[1], Slots: values[2], Pace: float64(values[3]) / _usualPace}
 }
 
 // parseLimit returns the limit that an answer names, or nil. A value that is not a
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -78,7 +78,7 @@
 	// NotRun marks the answer of a worker that did not run the request.
 	NotRun string
 	// Load is the load report of a worker: running, waiting and slots, separated
-	// by commas.
+	// by commas, and then possibly the time that work takes there, in percent of the usual.
 	Load string
 	// Limit is the number of requests per second that a worker takes from all
 	// instances together.
@@ -112,12 +112,15 @@
 	return n < min(t.MaxIdle, _maxIdleConns)
 }
 
-// Load is the load report of a worker: its running and waiting requests and its
-// slots.
+// Load is the load report of a worker: its running and waiting requests, its slots, and
+// how long work takes there.
 type Load struct {
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is the time that work takes on the worker's machine at this moment, relative to
+	// the usual time, or zero if the report does not state it.
+	Pace float64
 }
 
 // Fault is the way in which an exchange failed.
@@ -220,6 +223,7 @@
 	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
 	_badRests        = metrics.NewCounter("wigeonlock_unusable_rests_total")
 	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
+	_badLoads        = metrics.NewCounter("wigeonlock_unusable_loads_total")
 	_starved         = metrics.NewCounter("wigeonlock_worker_connections_denied_total")
 	_surpluses       = metrics.NewCounter("wigeonlock_surplus_bytes_total")
 )
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -445,3 +445,29 @@
 		})
 	}
 }
+
+// TestLoadReports has workers that state more than running, waiting and slots: their reports
+// were ignored, so that no load at all was known of them.
+func TestLoadReports(t *testing.T) {
+	tests := []struct {
+		report string
+		want   *exchange.Load
+		bad    uint64
+	}{
+		{report: "3,1,8", want: &exchange.Load{Running: 3, Waiting: 1, Slots: 8}},
+		{report: "3, 1, 8, 250", want: &exchange.Load{Running: 3, Waiting: 1, Slots: 8, Pace: 2.5}},
+		{report: "3,1,8,100,new", want: &exchange.Load{Running: 3, Waiting: 1, Slots: 8, Pace: 1}},
+		{report: "3,1,8,fast", want: &exchange.Load{Running: 3, Waiting: 1, Slots: 8}, bad: 1},
+		{report: "3,1,-8,100", bad: 1},
+		{report: "3,1", bad: 1},
+	}
+	for _, tt := range tests {
+		before := exchange.BadLoads()
+		w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+			return ok(r.Header.Get("Id"), "x", "Load: "+tt.report)
+		})
+		p := &exchange.Pool{HeaderNames: _names}
+		assert.Equal(t, tt.want, do(t, p, w, request("one")).Load, tt.report)
+		assert.Equal(t, tt.bad, exchange.BadLoads()-before, tt.report)
+	}
+}
--- a/exchange/export_test.go
+++ b/exchange/export_test.go
@@ -6,3 +6,8 @@
 	defer p.mu.Unlock()
 	return len(p.idle[address])
 }
+
+// BadLoads returns the number of load reports that were not understood.
+func BadLoads() uint64 {
+	return _badLoads.Get()
+}
