--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -35,6 +35,8 @@
 	mu          sync.Mutex
 	served      int
 	release     chan struct{}
+	// last is the header of the last request.
+	last http.Header
 }
 
 func startWorker(t *testing.T, kv *standin.KV, id, service, zone string) *worker {
@@ -62,6 +64,7 @@
 	}
 	w.mu.Lock()
 	w.served++
+	w.last = r.Header
 	release := w.release
 	w.mu.Unlock()
 	if release != nil {
