Teams in metrics, log lines and explain

An operator could not see why a request was refused with 401. Log lines of requests name the team, the configuration by which was decided and, for a withdrawn key, the team that held it; explain adds the line at which that configuration was activated; metrics count admitted requests and those with withdrawn keys for the 20 largest teams, the rest together. Rosters remember up to 10,000 withdrawn keys, as fingerprints.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -38,6 +38,9 @@
 	// _progressLines is the number of lines between two calls of the progress
 	// function.
 	_progressLines = 1_000_000
+	// _activated is the message of the line that an instance writes as it activates a
+	// configuration.
+	_activated = "configuration activated"
 )
 
 // Line is one decoded line of a log.
@@ -114,14 +117,25 @@
 	from, to  time.Time
 	instances map[string]struct{}
 	workers   map[string]struct{}
+	// versions are the configurations by which instances decided.
+	versions map[version]struct{}
+}
+
+// version is a configuration at an instance.
+type version struct {
+	instance string
+	number   string
 }
 
 func (t *Timeline) scope() *scope {
-	sc := &scope{instances: map[string]struct{}{}, workers: map[string]struct{}{}}
+	sc := &scope{instances: map[string]struct{}{}, workers: map[string]struct{}{}, versions: map[version]struct{}{}}
 	sc.from = t.Decisions[0].Time.Add(-_before)
 	sc.to = t.Decisions[len(t.Decisions)-1].Time.Add(_after)
 	for _, l := range t.Decisions {
 		sc.instances[l.Instance] = struct{}{}
+		if number := l.raw("configVersion"); number != "" {
+			sc.versions[version{l.Instance, number}] = struct{}{}
+		}
 		if id := l.get("worker"); id != "" {
 			sc.workers[id] = struct{}{}
 		}
@@ -146,8 +160,21 @@
 	return !bytes.Contains(raw, []byte(`"request":`))
 }
 
+// concerns reports whether an instance of the request wrote a line around its time, or when it
+// activated the configuration by which it decided.
+func (sc *scope) concerns(l Line) bool {
+	if l.Message == _activated {
+		_, ok := sc.versions[version{l.Instance, l.raw("version")}]
+		if ok {
+			return true
+		}
+	}
+	_, ok := sc.instances[l.Instance]
+	return ok && !l.Time.Before(sc.from) && !l.Time.After(sc.to)
+}
+
 func (t *Timeline) addCondition(sc *scope, l Line) {
-	if _, ok := sc.instances[l.Instance]; !ok || l.Time.Before(sc.from) || l.Time.After(sc.to) || l.get("request") != "" {
+	if l.get("request") != "" || !sc.concerns(l) {
 		return
 	}
 	if id := l.get("worker"); id != "" {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -48,6 +48,21 @@
 	goldie.New(t).Assert(t, "timeline", out.Bytes())
 }
 
+// TestRefusedKey checks that the timeline of a request that was refused for its key names the
+// team that held the key, and when the configuration was activated that withdrew it.
+func TestRefusedKey(t *testing.T) {
+	const log = `{"level":"info","time":"2026-06-15T15:30:00.000Z","msg":"configuration activated","instance":"edge-1","version":8,"teams":2,"keys":4}
+{"level":"info","time":"2026-06-15T15:31:00.000Z","msg":"configuration activated","instance":"edge-1","version":9,"teams":2,"keys":3}
+{"level":"info","time":"2026-06-15T15:31:00.010Z","msg":"configuration activated","instance":"edge-2","version":9,"teams":2,"keys":3}
+{"level":"info","time":"2026-06-15T15:35:38.400Z","msg":"request ended","instance":"edge-1","request":"q1","withdrawnFrom":"office","configVersion":9,"reason":"unknownKey","status":401}
+`
+	timeline, err := explain.Read("q1", writeLogs(t, log), nil)
+	require.NoError(t, err)
+	var out bytes.Buffer
+	require.NoError(t, timeline.Print(&out))
+	goldie.New(t).Assert(t, "refusedKey", out.Bytes())
+}
+
 func TestUnknownRequest(t *testing.T) {
 	timeline, err := explain.Read("none", writeLogs(t, _firstLog), nil)
 	require.NoError(t, err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -124,6 +124,7 @@
 
 	// regions is the number of regions.
 	regions int
+	usage   team.Usage
 
 	mu      sync.Mutex
 	state   State
@@ -244,7 +245,8 @@
 type requestState struct {
 	request *relay.Request
 	route   *catalog.Route
-	// teams are those of the configuration of the route.
+	// version is that of the configuration of the route, and teams are those of it.
+	version catalog.Version
 	teams   *team.Roster
 	service string
 	// deadline is when the request must be answered.
@@ -281,6 +283,8 @@
 	// team is the team of the caller, or nil if the configuration holds no teams or the route
 	// is open.
 	team *team.Team
+	// withdrawnFrom is the team that held the caller's key before, if it was refused for that.
+	withdrawnFrom string
 	// releases give back what the request took, in reverse order.
 	releases []func()
 }
@@ -304,7 +308,7 @@
 		timeout = min(timeout, r.TimeLeft)
 	}
 	rs := &requestState{
-		request: r, route: route, teams: known.Teams, service: route.Pick(rand.Float64()), deadline: r.Received.Add(timeout),
+		request: r, route: route, version: known.Version, teams: known.Teams, service: route.Pick(rand.Float64()), deadline: r.Received.Add(timeout),
 	}
 	if s.stopsBefore(rs) {
 		return s.refuseAtOnce(r, relay.Stopping)
--- a/forward/team.go
+++ b/forward/team.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonlock/wigeonlock/frontend"
 	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/team"
 )
 
 // _maxKeyAge is the age of the last read of the store up to which an instance knows that no
@@ -25,6 +26,7 @@
 		return s.refuseKey(rs)
 	}
 	rs.team, rs.request.Team = t, t.Name
+	s.usage.Admit(t.Name)
 	if len(t.Homes) > 0 && len(rs.route.Homes) > 0 && !slices.ContainsFunc(t.Homes, rs.route.MayServe) {
 		return s.refuse(rs.request, relay.NoHomeRegion, rs.deadline)
 	}
@@ -39,12 +41,22 @@
 		return s.refuse(rs.request, relay.UnconfirmedKey, rs.deadline)
 	}
 	countRefusal(relay.UnknownKey)
+	if t := rs.teams.Withdrawn(rs.request.Key); t != nil {
+		rs.withdrawnFrom = t.Name
+		s.usage.Refuse(t.Name)
+	}
 	if rs.request.Key == "" {
 		return frontend.Refusal(http.StatusUnauthorized, relay.UnknownKey, "the request needs a key")
 	}
 	return frontend.Refusal(http.StatusUnauthorized, relay.UnknownKey, "no team holds the key")
 }
 
+// TeamUsage returns the requests of the teams with the most requests, at most limit, and those
+// of all others together.
+func (s *Service) TeamUsage(limit int) (largest []team.Count, rest team.Count) {
+	return s.usage.Largest(limit)
+}
+
 // mayServe reports whether a region may serve the request: the homes of its route and those of
 // its team both bind.
 func (rs *requestState) mayServe(region string) bool {
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -102,7 +102,8 @@
 		return
 	}
 	s.Log.Info("request ended", zap.String("request", rs.request.ID), zap.String("route", rs.route.Name),
-		zap.String("service", rs.service), zap.String("team", rs.request.Team), zap.String("object", rs.request.Object),
+		zap.String("service", rs.service), zap.String("team", rs.request.Team), zap.String("withdrawnFrom", rs.withdrawnFrom),
+		zap.Uint64("configVersion", uint64(rs.version)), zap.String("object", rs.request.Object),
 		zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)), zap.Int("status", a.Status),
 		zap.Strings("tried", rs.tried), zap.String("notAgain", string(rs.noRetry)), zap.Float64("load", rs.choice.Load),
 		zap.Int("rank", rs.choice.Rank), zap.String("full", rs.choice.FullWorker), zap.Stringers("heldBack", rs.holds), zap.Duration("newsAgeMs", rs.updateAge),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -325,6 +325,9 @@
 	newer := false
 	g.forward.Update(func(st *forward.State) {
 		if st.Catalog == nil || c.Version > st.Catalog.Version {
+			if st.Catalog != nil {
+				c.Teams = c.Teams.After(st.Catalog.Teams)
+			}
 			st.Catalog, newer = c, true
 		}
 	})
--- a/gateway/http.go
+++ b/gateway/http.go
@@ -13,6 +13,9 @@
 	"github.com/wigeonlock/wigeonlock/platform"
 )
 
+// _maxTeamMetrics limits the teams that have metrics of their own.
+const _maxTeamMetrics = 20
+
 // readiness returns the handler that reports whether the instance serves callers.
 func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
@@ -96,4 +99,13 @@
 	for id, perSecond := range status.Limits {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("wigeonlock_worker_limit{worker=%q}", id), perSecond)
 	}
+	largest, rest := g.forward.TeamUsage(_maxTeamMetrics)
+	for _, c := range largest {
+		metrics.WriteCounterUint64(w, fmt.Sprintf(`wigeonlock_team_requests_total{team=%q,key="admitted"}`, c.Team), c.Admitted)
+		metrics.WriteCounterUint64(w, fmt.Sprintf(`wigeonlock_team_requests_total{team=%q,key="withdrawn"}`, c.Team), c.Withdrawn)
+	}
+	if len(largest) == _maxTeamMetrics {
+		metrics.WriteGaugeUint64(w, `wigeonlock_other_teams_requests{key="admitted"}`, rest.Admitted)
+		metrics.WriteGaugeUint64(w, `wigeonlock_other_teams_requests{key="withdrawn"}`, rest.Withdrawn)
+	}
 }
--- a/gateway/teams_test.go
+++ b/gateway/teams_test.go
@@ -61,6 +61,7 @@
 		require.NoError(c.t, err)
 		_, err = io.Copy(io.Discard, resp.Body)
 		require.NoError(c.t, err)
+		require.NoError(c.t, resp.Body.Close())
 		all = append(all, resp.StatusCode)
 	}
 	return all
@@ -119,6 +120,10 @@
 	}
 	assert.Less(t, time.Since(began), _keyBound)
 
+	text := instances[0].metrics(t)
+	assert.Contains(t, text, `wigeonlock_team_requests_total{team="office",key="admitted"}`)
+	assert.NotContains(t, text, `wigeonlock_team_requests_total{team="office",key="withdrawn"} 0`)
+
 	out := func(c *keyCaller) {
 		t.Helper()
 		for _, status := range c.statuses("old", "old") {
--- a/team/roster.go
+++ b/team/roster.go
@@ -14,6 +14,8 @@
 	// _stackBytes is the size in bytes up to which a secret and a key are hashed without an
 	// allocation.
 	_stackBytes = 256
+	// _maxWithdrawn limits the withdrawn keys that a roster remembers.
+	_maxWithdrawn = 10_000
 	// _maxFindings limits the findings of a roster: a faulty list may have one for each key.
 	_maxFindings = 20
 )
@@ -71,6 +73,8 @@
 	byKey    map[fingerprint]*Team
 	findings []Finding
 	omitted  int
+	// withdrawn are keys that teams held in earlier configurations.
+	withdrawn map[fingerprint]*Team
 }
 
 // NewRoster builds a roster. What would admit a caller that no single team answers for is left
@@ -151,6 +155,32 @@
 	return r.byKey[fingerprintOf(key)]
 }
 
+// After returns the roster with knowledge of the keys that are withdrawn since an earlier
+// roster, which may be nil. They are not admitted.
+func (r *Roster) After(earlier *Roster) *Roster {
+	if r == nil || earlier == nil {
+		return r
+	}
+	next := *r
+	next.withdrawn = make(map[fingerprint]*Team)
+	for _, known := range []map[fingerprint]*Team{earlier.byKey, earlier.withdrawn} {
+		for f, t := range known {
+			if r.byKey[f] == nil && len(next.withdrawn) < _maxWithdrawn {
+				next.withdrawn[f] = t
+			}
+		}
+	}
+	return &next
+}
+
+// Withdrawn returns the team that held a key in an earlier configuration, or nil.
+func (r *Roster) Withdrawn(key string) *Team {
+	if len(r.withdrawn) == 0 || key == "" {
+		return nil
+	}
+	return r.withdrawn[fingerprintOf(key)]
+}
+
 // Teams returns the teams in the order of the configuration. The caller must not modify them.
 // A nil roster has none.
 func (r *Roster) Teams() []*Team {
--- a/team/team_test.go
+++ b/team/team_test.go
@@ -47,6 +47,40 @@
 	assert.Equal(t, "teams: 30 more findings", r.Findings()[20].String())
 }
 
+func TestWithdrawnKeys(t *testing.T) {
+	first := team.NewRoster([]team.Entry{{Team: team.Team{Name: "office"}, Keys: []string{"a", "b", "c"}}})
+	second := team.NewRoster([]team.Entry{{Team: team.Team{Name: "office"}, Keys: []string{"b", "c"}}}).After(first)
+	third := team.NewRoster([]team.Entry{{Team: team.Team{Name: "site"}, Keys: []string{"c"}}}).After(second)
+	for _, key := range []string{"a", "b"} {
+		require.NotNil(t, third.Withdrawn(key))
+		assert.Equal(t, "office", third.Withdrawn(key).Name)
+		assert.Nil(t, third.Find(key))
+	}
+	assert.Nil(t, third.Withdrawn("c"))
+	assert.Equal(t, "site", third.Find("c").Name)
+	assert.Nil(t, third.Withdrawn("never"))
+	assert.Nil(t, first.Withdrawn("a"))
+	assert.Equal(t, "office", first.Find("a").Name, "the earlier roster stays as it is")
+	var none *team.Roster
+	assert.Nil(t, none.After(third))
+	assert.Same(t, first, first.After(none))
+}
+
+func TestUsage(t *testing.T) {
+	var u team.Usage
+	for i := range 5000 {
+		u.Admit(fmt.Sprint("team", i))
+	}
+	for range 3 {
+		u.Admit("team7")
+	}
+	u.Refuse("team9")
+	largest, rest := u.Largest(2)
+	assert.Equal(t, []team.Count{{Team: "team7", Admitted: 4}, {Team: "team9", Admitted: 1, Withdrawn: 1}}, largest)
+	assert.EqualValues(t, 4998, rest.Admitted)
+	assert.Zero(t, rest.Withdrawn)
+}
+
 func TestHomesAndRank(t *testing.T) {
 	bound := team.Team{Homes: []string{"north"}, Rank: 0, HasRank: true}
 	assert.True(t, bound.MayServe("north"))
