Requests bound to homes are no change of the local share

Cause: the local share of a service is 0 or 1 for a request that no or only local workers may serve.

Change: placement.Request.Bound says that homes bind; where all workers that may serve are on one side, the share is neither asked nor reported.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -39,6 +39,7 @@
 		Returning:       rs.returning,
 		Large:           rs.route.Kind.Large(),
 		MayServe:        rs.mayServe,
+		Bound:           rs.isBound(),
 		Closed:          func(zone string) bool { return s.state.Closed[zone] },
 		RegionInstances: max(s.state.Neighbours, 1),
 		Instances:       max(s.state.Neighbours, 1) * s.regions,
--- a/forward/team.go
+++ b/forward/team.go
@@ -57,6 +57,11 @@
 	return s.usage.Largest(limit)
 }
 
+// isBound reports whether homes bind the request.
+func (rs *requestState) isBound() bool {
+	return len(rs.route.Homes) > 0 || rs.team != nil && len(rs.team.Homes) > 0
+}
+
 // mayServe reports whether a region may serve the request: the homes of its route and those of
 // its team both bind.
 func (rs *requestState) mayServe(region string) bool {
--- a/placement/localshare.go
+++ b/placement/localshare.go
@@ -114,9 +114,13 @@
 }
 
 // updateLocalShare updates and returns the local share of a service's objects, and
-// notifies a change of at least _shareStep. localSlots and allSlots are the slots of
+// notifies a change of at least _shareStep. Requests that only the local region may serve, or
+// only others, tell nothing of it. localSlots and allSlots are the slots of
 // usable workers in the local region and in all regions.
 func (p *Placer) updateLocalShare(now time.Time, r Request, localSlots, allSlots int, workers []*worker.Worker) float64 {
+	if r.Bound && (localSlots == 0 || localSlots == allSlots) {
+		return float64(min(localSlots, 1))
+	}
 	s := p.localShareFor(shareKey{r.Service, r.Large})
 	regions := 0
 	if !s.known {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -82,6 +82,8 @@
 	Sticky bool
 	// MayServe reports whether workers of a region may serve the request.
 	MayServe func(region string) bool
+	// Bound is set if only some regions may serve the request.
+	Bound bool
 	// Closed reports whether a zone accepts no new requests.
 	Closed func(zone string) bool
 	// Tried lists the IDs of the workers of earlier attempts.
