permit: an issuer past its lease issues a tenth of the limit

Cause: an issuer that the store turns away and that has no neighbour keeps a list with itself in it. It went on at the full rate beside its successor, whose own list lost it when the lease ended.

Change: a Book asks Held until when the store keeps the registration at least, by the steady clock. Past that, less the time for which permits are valid, and for 3 s from a registration on, an instance issues at 0.1 of the limit. A stand-in issues at 0.4 (0.5 before), so that issuer, stand-in and replaced issuer together stay at 1.5. A successor begins without credit, and an account is forgotten with the office. A silent issuer is asked on the side whether it is there, so that its stand-in is not left out for half a second in each three.

Why it works: others replace an issuer when its key goes, which is after its own count of the lease ended. A successor issues at the full rate only when its registration is known to the others.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,6 +146,7 @@
 		registry: g.client, member: g.directory.Self, log: g.Log, confirmed: g.registered, ready: g.Ready,
 		instances: g.instances, wakeups: make(chan struct{}, 1),
 	}
+	permits.Held = g.registration.held
 	g.forward.Update(func(st *forward.State) { st.Workers.Changed = g.workerChanged })
 	return g
 }
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -17,8 +17,21 @@
 	_trialRate = 0.1
 	// _standInShare is the part of a limit that the second instance issues while the
 	// issuer does not answer it. The issuer may be there for others, and workers take
-	// one and a half times what they name.
-	_standInShare = 0.5
+	// one and a half times what they name. _pastLeaseShare is the part that an instance
+	// issues which others may have replaced: both fit beside an issuer.
+	_standInShare   = 0.4
+	_pastLeaseShare = 0.1
+	// _standInBurst and _pastLeaseBurst limit the permits that they issue at once after a pause.
+	_standInBurst   = 2
+	_pastLeaseBurst = 1
+	// _leaseMargin is the time before the end of the lease from which an instance issues
+	// less: permits are used until _validTime after they were issued.
+	_leaseMargin = _validTime
+	// _takeoverTime is the time from a registration on in which others may not have read it
+	// and go on issuing.
+	_takeoverTime = 3 * time.Second
+	// _newTime is the time for which a limit is new: no other instance has issued permits.
+	_newTime = time.Second
 	// _maxGrant is the largest number of permits in one answer.
 	_maxGrant = 256
 	// _announceInterval is the shortest time between two announcements of a limit to all
@@ -43,7 +56,18 @@
 	_quietGrowth = 1.3
 )
 
+// term is on what terms an instance issues permits.
+type term string
+
+const (
+	_inOffice  term = "inOffice"
+	_standIn   term = "standIn"
+	_pastLease term = "pastLease"
+)
+
 var (
+	_issuedPast = metrics.NewCounter("wigeonlock_permits_issued_past_lease_total")
+
 	_issued    = metrics.NewCounter("wigeonlock_permits_issued_total")
 	_announced = metrics.NewCounter("wigeonlock_limits_announced_total")
 )
@@ -52,6 +76,7 @@
 type account struct {
 	left       float64
 	refilledAt time.Time
+	term       term
 	// share is the part of its objects that the worker keeps.
 	share float64
 	// offered counts the requests for it since periodStart, and natural those that there
@@ -70,7 +95,10 @@
 	}
 	acc := b.accounts[a.Worker]
 	if acc == nil {
-		acc = &account{left: 1, refilledAt: now, share: min(max(a.Share, _minShare), 1), periodStart: now}
+		acc = &account{refilledAt: now, share: min(max(a.Share, _minShare), 1), periodStart: now}
+		if now.Sub(h.knownAt) < _newTime {
+			acc.left = 1
+		}
 		if b.accounts == nil {
 			b.accounts = make(map[string]*account)
 		}
@@ -81,14 +109,28 @@
 	if rate <= 0 {
 		rate = _trialRate
 	}
-	if _, standIn := b.issuer(now, h.worker); standIn {
-		rate *= _standInShare
+	terms := b.termOf(now, h.worker)
+	burst := _burst + rate*_burstTime.Seconds()
+	switch terms {
+	case _standIn:
+		rate, burst = rate*_standInShare, _standInBurst
+	case _pastLease:
+		rate, burst = rate*_pastLeaseShare, _pastLeaseBurst
+	}
+	acc.refill(now, rate, burst)
+	if acc.term != terms {
+		if acc.term != "" {
+			acc.left = 0
+		}
+		acc.term = terms
 	}
-	acc.refill(now, rate)
 	acc.offer(a)
 	acc.adjustShare(now, rate)
 	granted := acc.take(min(a.Want, _maxGrant))
 	_issued.Add(granted)
+	if terms == _pastLease {
+		_issuedPast.Add(granted)
+	}
 	reply := Reply{Notice: noticeOf(now, h), Granted: granted}
 	reply.Share = acc.share
 	if granted < a.Want {
@@ -97,9 +139,52 @@
 	return reply
 }
 
-func (a *account) refill(now time.Time, rate float64) {
+// termOf returns on what terms the instance issues the permits of a worker.
+func (b *Book) termOf(now time.Time, w Worker) term {
+	if !b.holdsOffice(now) {
+		return _pastLease
+	}
+	if _, standIn := b.issuer(now, w); standIn {
+		return _standIn
+	}
+	return _inOffice
+}
+
+// holdsOffice reports whether the store lists the instance and the others can know of it, so
+// that no other one is the issuer in its place. An instance whose lease may have ended can be
+// out of reach of the news that it was replaced.
+func (b *Book) holdsOffice(now time.Time) bool {
+	if b.Held == nil {
+		return true
+	}
+	until := b.Held()
+	if !now.Before(until) {
+		b.heldSince = time.Time{}
+		return false
+	}
+	if b.heldSince.IsZero() {
+		b.heldSince = now
+	}
+	return now.Before(until.Add(-_leaseMargin)) && now.Sub(b.heldSince) >= _takeoverTime
+}
+
+// leaveOffices forgets the accounts of the workers whose issuer is another instance now: it
+// uses what is left of them.
+func (b *Book) leaveOffices(now time.Time) {
+	b.holdsOffice(now)
+	for id, acc := range b.accounts {
+		if acc.term == _standIn {
+			continue
+		}
+		if issuer, _ := b.issuer(now, b.holdings[id].worker); issuer.Name != b.Self {
+			delete(b.accounts, id)
+		}
+	}
+}
+
+func (a *account) refill(now time.Time, rate, burst float64) {
 	elapsed := max(now.Sub(a.refilledAt).Seconds(), 0)
-	a.left = min(a.left+rate*elapsed, _burst+rate*_burstTime.Seconds())
+	a.left = min(a.left+rate*elapsed, burst)
 	a.refilledAt = now
 }
 
--- a/permit/model_test.go
+++ b/permit/model_test.go
@@ -37,6 +37,8 @@
 	// reach each other.
 	loss float64
 	cut  func(from, to int) bool
+	// silent, if set, is an instance that sends to the worker and exchanges no messages.
+	silent *node
 	// listed returns whether a node sees another in the store's list.
 	listed   func(viewer, other *node) bool
 	arrivals []arrival
@@ -149,7 +151,7 @@
 		panic(err)
 	}
 	to := m.nodes[index]
-	if m.rand.Float64() < m.loss || m.cut(from.zone, to.zone) {
+	if m.rand.Float64() < m.loss || m.cut(from.zone, to.zone) || from == m.silent || to == m.silent {
 		return
 	}
 	heap.Push(&m.mail, letter{m.now.Add(m.delay(from.zone, to.zone)), from.index, to, message})
--- a/permit/order.go
+++ b/permit/order.go
@@ -15,6 +15,9 @@
 	_missesUntilSilent = 3
 	_silentAfter       = 400 * time.Millisecond
 	_silentTime        = 2 * time.Second
+	// _askSilent is the time before the end of _silentTime from which a silent issuer is asked
+	// whether it is there, without a request that waits for it.
+	_askSilent = 750 * time.Millisecond
 )
 
 // order holds the instances, and for each limited worker the first two of those that may
@@ -170,6 +173,31 @@
 	c.silent = true
 }
 
+// askSilent asks the issuers that are silent whether they are there. One that does not answer
+// stays silent: while it was asked for permits, its stand-in would issue none.
+func (b *Book) askSilent(now time.Time) {
+	ends := false
+	for _, c := range b.contacts {
+		ends = ends || c.silenceEnds(now)
+	}
+	if !ends {
+		return
+	}
+	for _, h := range b.holdings {
+		first := b.firstTwo(now, h.worker)
+		if !h.limit.Named || len(first) < 2 {
+			continue
+		}
+		if c := b.contacts[first[0].Name]; c != nil && c.silenceEnds(now) {
+			b.check(now, first[0], noticeOf(now, h))
+		}
+	}
+}
+
+func (c *contact) silenceEnds(now time.Time) bool {
+	return now.Before(c.silentUntil) && c.silentUntil.Sub(now) <= _askSilent
+}
+
 // check finds out whether an instance answers, at most once within _askTimeout. Another
 // one took this instance for the issuer of a worker, probably because it found the first
 // one silent.
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -12,9 +12,12 @@
 // starts, from its neighbours. A limit holds until a request that was sent after the last
 // answer that named it is answered without one, or the worker starts anew.
 //
-// If an issuer does not answer, the next instance in the order takes its place at half the
-// rate, after it has found the issuer silent itself. Should both issue, because they
-// cannot reach each other, the worker gets at most one and a half times its limit.
+// If an issuer does not answer, the next instance in the order takes its place at a part of
+// the rate, after it has found the issuer silent itself. An issuer whose registration may
+// have ended, because the store turns it away, is replaced at the full rate without hearing
+// of it: it issues a small part from then on, and for a while after it is registered again.
+// Should all of them issue, because they cannot reach each other, the worker gets at most
+// one and a half times its limit.
 //
 // The issuer also adapts the share of its objects that a limited worker keeps, by the
 // demand for permits, so that requests which would get none are placed elsewhere at once.
@@ -146,12 +149,18 @@
 	// not block.
 	Silent func(name string, silent bool)
 
+	// Held, if set, returns until when the store lists this instance at least; zero if it is
+	// not registered. It must not block.
+	Held func() time.Time
+
 	mu       sync.Mutex
 	holdings map[string]*holding
 	accounts map[string]*account
-	order    order
-	contacts map[string]*contact
-	number   uint64
+	// heldSince is since when the instance is registered without a gap.
+	heldSince time.Time
+	order     order
+	contacts  map[string]*contact
+	number    uint64
 }
 
 // holding is what the instance knows of a worker that named a limit, and the permits that
@@ -159,6 +168,8 @@
 type holding struct {
 	worker Worker
 	limit  Limit
+	// knownAt is since when the instance knows that there is a limit.
+	knownAt time.Time
 	// share is the part of its objects that the worker keeps, as of shareAt.
 	share   float64
 	shareAt time.Time
@@ -244,6 +255,9 @@
 	if w.Born < h.worker.Born || !l.At.After(h.limit.At) || !changed && source != _answer {
 		return false
 	}
+	if l.Named && !h.limit.Named {
+		h.knownAt = l.At
+	}
 	h.limit = l
 	if !l.Named {
 		h.share, h.permits, h.deniedUntil = 1, nil, time.Time{}
@@ -334,5 +348,7 @@
 			delete(b.accounts, id)
 		}
 	}
+	b.leaveOffices(now)
+	b.askSilent(now)
 	b.order.forget(func(id string) bool { return b.holdings[id] == nil })
 }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -12,10 +12,10 @@
 trap 'rm -rf "$work"' EXIT
 
 # Limits of the state space for each specification.
-declare -A bounds=([quota]="-DWRITES=3 -DFAULTS=1" [payment]="" [rollout]="")
+declare -A bounds=([quota]="-DWRITES=3 -DFAULTS=1" [payment]="" [rollout]="" [permit]="")
 # Limits for mutants whose fault is not reached within the limits above.
 declare -A mutant_bounds=([quota-2]="-DWRITES=2 -DFAULTS=0 -DHIGH=4 -DLOW=2")
-declare -A mutants=([quota]=12 [payment]=9 [rollout]=3)
+declare -A mutants=([quota]=12 [payment]=9 [rollout]=3 [permit]=4)
 
 # explore SPEC MUTANT OPTIONS... runs the verifier and prints the number of
 # errors, the number of states, and "complete" or "cut" for the search.
@@ -43,7 +43,7 @@
 failed=0
 if [ "${1:-}" = "--mutants" ]; then
   jobs=()
-  for spec in quota payment rollout; do
+  for spec in quota payment rollout permit; do
     for mutant in $(seq 1 "${mutants[$spec]}"); do
       jobs+=("$spec $mutant ${mutant_bounds[$spec-$mutant]:-${bounds[$spec]}}")
     done
@@ -62,7 +62,7 @@
     if [ "$errors" != 0 ] || [ "$complete" != complete ] || [ "$states" -lt 1000 ]; then
       failed=1
     fi
-  done < <(for spec in quota payment rollout; do
+  done < <(for spec in quota payment rollout permit; do
     echo "$spec $(explore "$spec" 0 ${bounds[$spec]})"
   done)
 fi
