exchange, backend/http: a status that no answer has is no answer

Cause: http.ReadResponse and http.Transport accept any three digits, and both pipelines took every status but 1xx for final; a 101 that nobody asked for was skipped as interim, or passed on by serve.

Change: a status outside 100 to 599, 101, and more than 64 interim answers are bytes that are no answer. New counter wigeonlock_unusable_statuses_total.

--- a/backend/http/http.go
+++ b/backend/http/http.go
@@ -44,6 +44,8 @@
 	_maxHeadBytes  = 64 << 10
 	_maxProbeBytes = 4 << 10
 	_bufferBytes   = 32 << 10
+	// _maxStatus is the highest status of an answer. net/http lets others pass.
+	_maxStatus = 599
 )
 
 // Transport sends requests to workers. The exported fields are set before the
@@ -91,6 +93,16 @@
 		cancel(nil)
 		return t.classifyFailure(ctx, w, sent.Load())
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > _maxStatus {
+		// Bytes that are no answer. A connection without more of them counts as idle already.
+		_ = resp.Body.Close()
+		cancel(nil)
+		t.CloseIdle(w.Address)
+		_foreign.Inc()
+		answer := relay.Unknown(relay.ForeignAnswer)
+		answer.Worker = w.Name
+		return answer, backend.Broken
+	}
 	answer, result := newAnswer(w, r, resp, reused.Load())
 	if answer.Body == nil {
 		_ = resp.Body.Close()
--- a/backend/http/http_test.go
+++ b/backend/http/http_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,3 +146,30 @@
 		}
 	}
 }
+
+// TestStatusOfNoAnswer has a worker answer with a status that no answer has: the request may
+// have run, and the connection is closed.
+func TestStatusOfNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "199", "600", "999", "2000", "-1"} {
+		for _, body := range []string{"", "body"} {
+			t.Run(status+body, func(t *testing.T) {
+				var conns sync.Map
+				w := workerOf(t, func(_ int, r *http.Request, c net.Conn) string {
+					conns.Store(c, nil)
+					if id := r.Header.Get(relay.HeaderRequestID); id != "one" {
+						return answerTo(id, "whole")
+					}
+					return fmt.Sprintf("HTTP/1.1 %s x\r\n%s: true\r\nContent-Length: %d\r\n\r\n%s", status, relay.HeaderRefused, len(body), body)
+				})
+				transport := &backendhttp.Transport{Connections: 4}
+				a, _ := handle(t, transport, w, "one")
+				assert.Equal(t, retry.Unknown, a.Outcome)
+				_, got := handle(t, transport, w, "two")
+				assert.Equal(t, "whole", got)
+				n := 0
+				conns.Range(func(any, any) bool { n++; return true })
+				assert.Equal(t, 2, n, "connections")
+			})
+		}
+	}
+}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -21,6 +21,8 @@
 	// _maxHead is the maximum size of the head of an answer, together with interim
 	// answers before it, in bytes.
 	_maxHead = 64 << 10
+	// _maxInterim is the maximum number of interim answers before an answer.
+	_maxInterim = 64
 	// _maxSingleWrite is the size in bytes up to which a body is written together
 	// with the head, before the answer is read. A longer body is written while the
 	// answer is read, since the worker may answer before it has read the body.
@@ -31,6 +33,7 @@
 	errStray    = errors.New("answer belongs to another request")
 	errEncoded  = errors.New("answer has a content encoding that was not requested")
 	errTooLarge = errors.New("answer is too large")
+	errStatus   = errors.New("answer has a status that is none of an answer")
 
 	errNoConnections = errors.New("all connections to workers are in use")
 )
@@ -213,6 +216,7 @@
 // of the worker is recorded in result, also if the body breaks off.
 func (p *Pool) readReply(c *conn, r *relay.Request, result *Result) (*reply, error) {
 	c.limit.left = _maxHead
+	interim := 0
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if c.limit.exceeded {
@@ -221,8 +225,15 @@
 		if err != nil {
 			return nil, err
 		}
+		if !isStatus(resp.StatusCode) {
+			_badStatuses.Inc()
+			return nil, errStatus
+		}
 		p.recordHead(c, resp, r, result)
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > _maxInterim {
+				return nil, errTooLarge
+			}
 			continue
 		}
 		c.limit.left = _unlimited
@@ -335,7 +346,7 @@
 		result.Answer.Reason, result.Fault = relay.CallerDisconnected, CallerDisconnected
 	case ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout():
 		result.Answer.Reason, result.Fault = relay.WorkerSilent, TimedOut
-	case errors.Is(err, errStray), errors.Is(err, errEncoded), errors.Is(err, errTooLarge):
+	case errors.Is(err, errStray), errors.Is(err, errEncoded), errors.Is(err, errTooLarge), errors.Is(err, errStatus):
 		result.Answer.Reason, result.Fault = relay.ForeignAnswer, InvalidAnswer
 	}
 	return result
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -219,6 +219,7 @@
 	// _unnamedRefusals counts refusals that may be copies of earlier ones.
 	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
 	_badRests        = metrics.NewCounter("wigeonlock_unusable_rests_total")
+	_badStatuses     = metrics.NewCounter("wigeonlock_unusable_statuses_total")
 	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
 	_starved         = metrics.NewCounter("wigeonlock_worker_connections_denied_total")
 	_surpluses       = metrics.NewCounter("wigeonlock_surplus_bytes_total")
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -13,6 +13,13 @@
 // _maxRest is the longest pause that a worker may ask for; longer ones count as this.
 const _maxRest = 24 * time.Hour
 
+// isStatus reports whether a status is one of an answer or of an interim answer. Others, which
+// http.ReadResponse lets pass, are bytes that are no answer, also 101: no request asks to
+// switch the protocol.
+func isStatus(status int) bool {
+	return status >= http.StatusContinue && status <= 599 && status != http.StatusSwitchingProtocols
+}
+
 // recordHead records what the head of an answer says of the worker. A head that names another
 // request is still one of the same worker if the connection proved to lead there.
 func (p *Pool) recordHead(c *conn, resp *http.Response, r *relay.Request, result *Result) {
