Memory that a process holds for callers is one budget

Change: bytebudget shares a part of the memory by use. A body is read when there is memory for it; until then it waits unread, for half a second at most, and gets a 503 with a Retry-After by the rate at which memory comes back. Room for an answer is taken before the request is sent, by what answers of its route measured lately, and kept until the caller has it. While memory is short, a caller that makes no progress for 2 s gives way. Answers with a length are read into a buffer of that size instead of a growing one. A stopping instance accepts repeatable requests only if answers of their route are written in time, and waits longer for those under way.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -1,83 +1,94 @@
 package exchange
 
 import (
-	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/wigeonlock/wigeonlock/bytebudget"
+	"github.com/wigeonlock/wigeonlock/relay"
 )
 
 const (
 	// _maxBody is the maximum size of the body of an answer, in bytes; it is held in
 	// memory.
 	_maxBody = 64 << 20
-	// _freeBody is the size up to which a body does not count against the budget of all
-	// bodies, in bytes, so that answers without end keep no small ones from being read.
+	// _freeBody is the size up to which a body always has room in the budget of a pool, in
+	// bytes, so that answers without end keep no small ones from being read.
 	_freeBody = 256 << 10
 	// _defaultBodyBudget is the budget of a pool that sets none, in bytes.
 	_defaultBodyBudget = 2 * _maxBody
+	// _firstBody is the first size of the buffer of a body whose length is unknown, in bytes.
+	_firstBody = 512
+	// _roomWait is how long an answer that arrives waits for memory: a worker cuts off an
+	// answer that stays unread for some seconds.
+	_roomWait = time.Second
 )
 
 // readBody reads the body of an answer. It fails with errTooLarge when the body exceeds
-// _maxBody or what the bodies that are being read may take together.
-func (p *Pool) readBody(resp *http.Response) ([]byte, error) {
+// _maxBody or when there is no memory for it.
+func (p *Pool) readBody(ctx context.Context, resp *http.Response, r *relay.Request) ([]byte, error) {
 	if resp.ContentLength > _maxBody {
 		return nil, errTooLarge
 	}
-	budget := &bodyBudget{pool: p}
-	defer budget.release()
-	if !budget.reserve(resp.ContentLength) {
-		return nil, errTooLarge
+	room := r.AnswerRoom
+	if room == nil {
+		room = p.budget().Lease(bytebudget.Answers)
+		defer room.Release()
 	}
-	buf := bytes.NewBuffer(make([]byte, 0, max(min(resp.ContentLength, 1<<20), bytes.MinRead)))
-	for {
-		if !budget.reserve(int64(buf.Len()) + _bodyStep) {
+	if r.Method == http.MethodHead || resp.ContentLength == 0 {
+		_, err := io.Copy(io.Discard, resp.Body)
+		return nil, err
+	}
+	if resp.ContentLength > 0 {
+		if !room.Grow(ctx, resp.ContentLength, _roomWait) {
 			return nil, errTooLarge
 		}
-		n, err := io.CopyN(buf, resp.Body, _bodyStep)
-		switch {
-		case errors.Is(err, io.EOF):
-			if resp.ContentLength > 0 && int64(buf.Len()) < resp.ContentLength && resp.Request.Method != http.MethodHead {
-				return nil, io.ErrUnexpectedEOF
+		buf := make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, buf); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
 			}
-			return buf.Bytes(), nil
-		case err != nil:
 			return nil, err
-		case int64(buf.Len())+n > _maxBody:
-			return nil, errTooLarge
 		}
+		return buf, nil
 	}
+	return readToEnd(ctx, resp.Body, room)
 }
 
-// _bodyStep is the number of bytes after which the size of a body is checked.
-const _bodyStep = 64 << 10
-
-// bodyBudget is the part of a pool's budget that one body takes.
-type bodyBudget struct {
-	pool *Pool
-	held int64
-}
-
-// reserve takes what a body of a size needs, or reports that the budget is used up.
-func (b *bodyBudget) reserve(size int64) bool {
-	// The buffer may be twice as large as its content.
-	need := 2 * size
-	if size <= _freeBody || need <= b.held {
-		return true
-	}
-	limit := b.pool.BodyBudget
-	if limit == 0 {
-		limit = _defaultBodyBudget
-	}
-	if b.pool.bodies.Add(need-b.held) > limit {
-		b.pool.bodies.Add(b.held - need)
-		return false
+// readToEnd reads a body whose length is unknown.
+func readToEnd(ctx context.Context, body io.Reader, room *bytebudget.Lease) ([]byte, error) {
+	buf := make([]byte, 0, _firstBody)
+	for {
+		if len(buf) == cap(buf) {
+			// The old buffer stays until the bytes are copied.
+			if len(buf) > _maxBody || !room.Grow(ctx, int64(3*cap(buf)), _roomWait) {
+				return nil, errTooLarge
+			}
+			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		}
+		n, err := body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buf, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	b.held = need
-	return true
 }
 
-func (b *bodyBudget) release() {
-	b.pool.bodies.Add(-b.held)
+// budget returns the budget of the bodies whose requests bring no room for their answer.
+func (p *Pool) budget() *bytebudget.Budget {
+	p.budgetOnce.Do(func() {
+		limit := p.BodyBudget
+		if limit == 0 {
+			limit = _defaultBodyBudget
+		}
+		p.bodies = bytebudget.New(limit, bytebudget.Shares{Small: _freeBody})
+	})
+	return p.bodies
 }
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -83,7 +83,7 @@
 	result.SentAt = sent
 	written, err := p.send(ctx, c, t, r)
 	if err == nil {
-		err = p.awaitAnswer(c, r, sent, &result)
+		err = p.awaitAnswer(ctx, c, r, sent, &result)
 	}
 	live := stop()
 	if err != nil {
@@ -101,13 +101,13 @@
 }
 
 // awaitAnswer waits for the first byte of the answer and reads all of it.
-func (p *Pool) awaitAnswer(c *conn, r *relay.Request, sent time.Time, result *Result) error {
+func (p *Pool) awaitAnswer(ctx context.Context, c *conn, r *relay.Request, sent time.Time, result *Result) error {
 	if _, err := c.reader.Peek(1); err != nil {
 		return err
 	}
 	began := time.Now()
 	result.FirstByte = began.Sub(sent)
-	err := p.receive(c, r, result)
+	err := p.receive(ctx, c, r, result)
 	result.Body = time.Since(began)
 	return err
 }
@@ -191,9 +191,9 @@
 
 // receive reads the answer to a request and skips up to _maxStray answers to other
 // requests before it.
-func (p *Pool) receive(c *conn, r *relay.Request, result *Result) error {
+func (p *Pool) receive(ctx context.Context, c *conn, r *relay.Request, result *Result) error {
 	for range _maxStray + 1 {
-		answer, err := p.readReply(c, r, result)
+		answer, err := p.readReply(ctx, c, r, result)
 		if err != nil {
 			return err
 		}
@@ -211,7 +211,7 @@
 
 // readReply reads one complete answer. Interim (1xx) answers are skipped. What the head says
 // of the worker is recorded in result, also if the body breaks off.
-func (p *Pool) readReply(c *conn, r *relay.Request, result *Result) (*reply, error) {
+func (p *Pool) readReply(ctx context.Context, c *conn, r *relay.Request, result *Result) (*reply, error) {
 	c.limit.left = _maxHead
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -226,7 +226,7 @@
 			continue
 		}
 		c.limit.left = _unlimited
-		body, err := p.readBody(resp)
+		body, err := p.readBody(ctx, resp, r)
 		if err == nil {
 			err = resp.Body.Close()
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -28,6 +28,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/relay"
 )
 
@@ -196,14 +197,15 @@
 	// ended.
 	OnIdleClose func(address string)
 	// BodyBudget limits the memory of the large bodies that are being read at a time, in
-	// bytes. 0 is _defaultBodyBudget.
+	// bytes, of requests that bring no room for their answer. 0 is _defaultBodyBudget.
 	BodyBudget int64
 	// MaxConns is the largest number of connections to all workers together, or 0. At that
 	// number, idle ones give way to new ones.
 	MaxConns int
 
-	bodies atomic.Int64
-	open   atomic.Int64
+	budgetOnce sync.Once
+	bodies     *bytebudget.Budget
+	open       atomic.Int64
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,6 +25,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/catalog"
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/frontend"
@@ -118,6 +119,9 @@
 	HasEnded     func(ctx context.Context, t exchange.Target) bool
 	TellSuspects func(news suspect.News)
 
+	// Memory is what the process may hold for callers, nil if that has no limit.
+	Memory *bytebudget.Budget
+
 	// regions is the number of regions.
 	regions int
 
@@ -127,6 +131,7 @@
 	pacer   placement.Pacer
 	returns returns
 	budgets map[string]*retry.SharedBudget
+	answers map[string]*answers
 	checks  map[incarnation]*workerCheck
 	tells   limit.Bucket
 }
@@ -153,6 +158,7 @@
 	s.Permits.Changed, s.Permits.Silent = s.limitChanged, s.instanceSilent
 	s.budgets = make(map[string]*retry.SharedBudget)
 	s.checks = make(map[incarnation]*workerCheck)
+	s.answers = make(map[string]*answers)
 	if s.Suspects == nil {
 		s.Suspects = &suspect.Book{Tries: func(suspect.Content) bool { return true }}
 	}
@@ -308,6 +314,7 @@
 	if answer == nil {
 		answer = s.forward(ctx, rs)
 	}
+	s.holdAnswer(rs, answer)
 	s.log(rs, answer)
 	return answer
 }
@@ -337,17 +344,6 @@
 	rs.releases = nil
 }
 
-// stopsBefore reports whether the instance may end before a request is answered that must not
-// run twice: cut then, its caller could not tell whether it ran.
-func (s *Service) stopsBefore(rs *requestState) bool {
-	if rs.route.Kind.Repeatable() {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.state.StopsAt.IsZero() && rs.deadline.After(s.state.StopsAt)
-}
-
 // withDeadline returns the context for the attempts of a request. A request that
 // must not run twice is not cancelled when its caller disconnects, as it would
 // then be unknown whether it ran.
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -9,6 +9,30 @@
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
+// stopsBefore reports whether the instance may end before the caller has the answer to a request:
+// cut then, its caller could not tell whether it ran, or would lose what it has of a large
+// answer. A request that must not run twice may take until its deadline, others as long as
+// answers of their route took lately.
+func (s *Service) stopsBefore(rs *requestState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state.StopsAt.IsZero() {
+		return false
+	}
+	seen := s.answers[rs.route.Name]
+	if !rs.route.Kind.Repeatable() || seen == nil && rs.route.Kind.Large() {
+		return rs.deadline.After(s.state.StopsAt)
+	}
+	if seen == nil {
+		return false
+	}
+	took := time.Duration(seen.seconds.atMost(_slowDeviations) * float64(time.Second))
+	if left := rs.request.TimeLeft; left > 0 {
+		took = min(took, left)
+	}
+	return rs.request.Received.Add(took).After(s.state.StopsAt)
+}
+
 // recordLeaving records that the worker of the last attempt said that it leaves. The caller
 // holds s.mu.
 func (s *Service) recordLeaving(rs *requestState) {
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -59,7 +59,13 @@
 		left = time.Until(deadline)
 	}
 	pause := min(time.Duration(float64(left)*_retryAfterShare), _maxRetryAfter)
-	return refusal(reason, time.Duration(float64(pause)*(0.5+rand.Float64()/2)))
+	return refusal(reason, jittered(pause))
+}
+
+// jittered returns between half of a pause and all of it, so that refused callers do not return
+// all at once.
+func jittered(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (0.5 + rand.Float64()/2))
 }
 
 // refuseUntil returns a refusal for a request that did not run and that can be served from a
--- a/frontend/accept.go
+++ b/frontend/accept.go
@@ -125,7 +125,16 @@
 func (c *conn) refuse() *relay.Answer {
 	_refusedConns.Inc()
 	a := Refusal(http.StatusServiceUnavailable, relay.TooManyCallers, "the request did not run")
-	pause := time.Duration(float64(_refusedRetryAfter) * (0.5 + rand.Float64()/2))
+	return withRetryAfter(a, jittered(_refusedRetryAfter))
+}
+
+// jittered returns between half of a pause and all of it, so that refused callers do not return
+// all at once.
+func jittered(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (0.5 + rand.Float64()/2))
+}
+
+func withRetryAfter(a *relay.Answer, pause time.Duration) *relay.Answer {
 	a.Header = append(a.Header, relay.Header{Name: relay.HeaderRetryAfter, Value: strconv.FormatFloat(pause.Seconds(), 'f', 3, 64)})
 	return a
 }
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -41,8 +41,10 @@
 	refused bool
 	// evicted is set when the connection ends because it is idle and its descriptor is needed.
 	evicted atomic.Bool
-	// pending is the number of requests that are not yet answered.
+	// pending is the number of requests that are not yet answered, unsent the bytes of answers
+	// that are not yet written.
 	pending atomic.Int32
+	unsent  atomic.Int64
 	slots   chan struct{}
 	// closing is set once an answer closed the connection.
 	closing atomic.Bool
@@ -242,6 +244,8 @@
 	status  int
 	reason  relay.Reason
 	message string
+	// pause is the time after which the caller may return; zero if it may not.
+	pause time.Duration
 }
 
 // readRequest reads a complete request. It returns neither a request nor an error
@@ -261,7 +265,7 @@
 		return nil, c.headError(err)
 	}
 	if headBytes(req) > limits.HeaderBytes {
-		return nil, &requestError{http.StatusRequestHeaderFieldsTooLarge, relay.HeaderTooLarge, "header is too large"}
+		return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: relay.HeaderTooLarge, message: "header is too large"}
 	}
 	r, reqErr := c.toRequest(req)
 	if reqErr != nil {
@@ -273,11 +277,11 @@
 func (c *conn) headError(err error) *requestError {
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
-		return &requestError{http.StatusRequestHeaderFieldsTooLarge, relay.HeaderTooLarge, "header is too large"}
+		return &requestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: relay.HeaderTooLarge, message: "header is too large"}
 	case c.isStopped():
 		return nil
 	case c.isTimeout(err):
-		return &requestError{http.StatusRequestTimeout, relay.BadRequest, "header took too long"}
+		return &requestError{status: http.StatusRequestTimeout, reason: relay.BadRequest, message: "header took too long"}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return nil
 	}
@@ -289,7 +293,7 @@
 }
 
 func badRequest(message string) *requestError {
-	return &requestError{http.StatusBadRequest, relay.BadRequest, message}
+	return &requestError{status: http.StatusBadRequest, reason: relay.BadRequest, message: message}
 }
 
 func headBytes(req *http.Request) int {
@@ -334,56 +338,6 @@
 	return r, nil
 }
 
-func (c *conn) readBody(
-	req *http.Request, r *relay.Request, limits Limits, previous <-chan struct{},
-) (*relay.Request, *requestError) {
-	r.HasLength = req.ContentLength > 0 || req.Header.Get("Content-Length") != "" || len(req.TransferEncoding) > 0 ||
-		req.ContentLength == 0 && (req.Method == http.MethodPost || req.Method == http.MethodPut)
-	if req.ContentLength == 0 {
-		return r, nil
-	}
-	if req.ContentLength > int64(limits.BodyBytes) {
-		return nil, &requestError{http.StatusRequestEntityTooLarge, relay.BodyTooLarge, "body is too large"}
-	}
-	if req.Header.Get("Expect") != "" {
-		<-previous
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil
-		}
-	}
-	buf := make([]byte, 0, max(min(req.ContentLength, 64<<10), 512))
-	for {
-		c.setReadDeadline(time.Now().Add(_bodyReadTimeout))
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := req.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if len(buf) > limits.BodyBytes {
-			return nil, &requestError{http.StatusRequestEntityTooLarge, relay.BodyTooLarge, "body is too large"}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return nil, c.bodyError(err)
-		}
-	}
-	r.Body = &relay.Body{Bytes: buf, Length: int64(len(buf))}
-	return r, nil
-}
-
-func (c *conn) bodyError(err error) *requestError {
-	if c.isTimeout(err) && !c.isStopped() {
-		return &requestError{http.StatusRequestTimeout, relay.BadRequest, "body took too long"}
-	}
-	var network *net.OpError
-	if errors.As(err, &network) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return nil
-	}
-	return badRequest("body cannot be read")
-}
-
 // serveRequest serves a request in a goroutine. It blocks while _maxPipelined
 // requests are being served. previous is closed once the request before is
 // answered, the returned channel once r is answered.
@@ -405,10 +359,15 @@
 			return
 		}
 		answer := c.handle(r, previous)
-		<-previous
-		if answer != nil {
-			c.write(r, answer, r.CloseConn || c.refused)
+		if answer == nil {
+			<-previous
+			return
 		}
+		size := max(answer.Length, 0)
+		c.unsent.Add(size)
+		<-previous
+		c.write(r, answer, r.CloseConn || c.refused)
+		c.unsent.Add(-size)
 	}()
 	return done
 }
@@ -417,9 +376,14 @@
 // its connection that the request was not read. A panic of the handler becomes an answer
 // that promises nothing.
 func (c *conn) handle(r *relay.Request, previous <-chan struct{}) (answer *relay.Answer) {
+	// Neither the worker nor a further attempt needs the body any more.
+	defer dropBody(r)
 	if c.refused {
 		return c.refuse()
 	}
+	if c.unsent.Load() > _window {
+		<-previous
+	}
 	err := kernel.Guard(func() error {
 		if c.server.Handler.Exclusive(r) {
 			<-previous
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -26,6 +26,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/relay"
 )
 
@@ -35,6 +36,9 @@
 	_maxPipelined = 32
 	// _writeTimeout is the longest time to write an answer to a caller.
 	_writeTimeout = 20 * time.Second
+	// _shortStall is how long a caller may take no bytes of its answer, or send none of its
+	// body, while others wait for memory.
+	_shortStall = 2 * time.Second
 	// _lingerTimeout is how long a closing connection is still read, so that a
 	// reset does not discard the last answer.
 	_lingerTimeout = 500 * time.Millisecond
@@ -44,6 +48,18 @@
 	_lastReadTime   = 100 * time.Millisecond
 	// _bodyReadTimeout is the longest wait for the next bytes of a request body.
 	_bodyReadTimeout = 5 * time.Second
+	// _bodyRoomWait is how long a body waits unread for memory, and _bodyWaitShare the part of
+	// the time that its caller has left: callers give up on what is not read within a second.
+	_bodyRoomWait  = 500 * time.Millisecond
+	_bodyWaitShare = 0.125
+	// ConnectionBytes is the memory that a connection is counted with, in bytes: its
+	// goroutine, its buffers and a small request and answer.
+	ConnectionBytes = 24 << 10
+	// _uncountedBytes is the size up to which a body is part of ConnectionBytes.
+	_uncountedBytes = 4 << 10
+	// _window is the number of bytes of answers that may wait behind others on a connection:
+	// beyond it, its further requests wait, as a caller that reads slowly may hold no more.
+	_window = 256 << 10
 )
 
 // Limits limit the requests of callers: the size of header and body in bytes, the
@@ -82,6 +98,8 @@
 	// MaxConns is the number of connections above which idle ones are closed, and further
 	// ones are refused after their first request. 0 means no limit.
 	MaxConns int
+	// Memory is what the process may hold for callers, nil if that has no limit.
+	Memory *bytebudget.Budget
 	// Log, if set, gets panics of the handler.
 	Log *zap.Logger
 
@@ -142,6 +160,7 @@
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	s.active.Add(1)
+	s.Memory.Take(bytebudget.Connections, ConnectionBytes)
 	if !s.lastRead.IsZero() {
 		c.finish(s.lastRead)
 	}
@@ -151,6 +170,7 @@
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
+	s.Memory.Give(bytebudget.Connections, ConnectionBytes)
 	s.active.Done()
 }
 
--- a/frontend/write.go
+++ b/frontend/write.go
@@ -7,12 +7,17 @@
 	"strconv"
 	"time"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/relay"
 )
 
 // errorAnswer returns the answer to an invalid request.
 func errorAnswer(e *requestError) *relay.Answer {
-	return Refusal(e.status, e.reason, e.message)
+	a := Refusal(e.status, e.reason, e.message)
+	if e.pause > 0 {
+		return withRetryAfter(a, e.pause)
+	}
+	return a
 }
 
 // Refusal returns an answer of the instance itself to a request that did not run,
@@ -65,11 +70,36 @@
 		c.abort()
 		return
 	}
-	if len(data) > 0 {
-		if _, err := c.Write(data); err != nil {
-			c.abort()
+	if len(data) > 0 && !c.writeLarge(data, r) {
+		c.abort()
+	}
+}
+
+// writeLarge writes the rest of an answer. It gives up on a caller that takes nothing for
+// _shortStall while memory is short, and on any other after _writeTimeout.
+func (c *conn) writeLarge(data []byte, r *relay.Request) bool {
+	var room *bytebudget.Lease
+	if r != nil {
+		room = r.AnswerRoom
+	}
+	started := time.Now()
+	progress := started
+	for len(data) > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(_writePoll))
+		n, err := c.Write(data[:min(len(data), _writeStep)])
+		data = data[n:]
+		now := time.Now()
+		if n > 0 {
+			progress = now
+		}
+		switch {
+		case err == nil:
+		case !c.isTimeout(err), now.Sub(started) >= _writeTimeout,
+			now.Sub(progress) >= c.stall(bytebudget.Answers, room, _writeTimeout):
+			return false
 		}
 	}
+	return true
 }
 
 // abort closes a connection to which an answer could not be written completely.
@@ -83,6 +113,13 @@
 // the head.
 const _maxSingleWrite = 16 << 10
 
+const (
+	// _writeStep is the number of bytes after which the progress of a caller is noted, and
+	// _writePoll how often it is checked whether one without progress is in the way of others.
+	_writeStep = 256 << 10
+	_writePoll = time.Second
+)
+
 func singleWriteSize(data []byte) int {
 	if len(data) > _maxSingleWrite {
 		return 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/catalog"
 	"github.com/wigeonlock/wigeonlock/changefeed"
 	"github.com/wigeonlock/wigeonlock/directory"
@@ -55,11 +56,11 @@
 	// long the stop may take.
 	_maxDrainTime = 2800 * time.Millisecond
 	// _stopShare is the fraction of the stop timeout after which the instance no
-	// longer waits for pending requests.
-	_stopShare = 0.9
-	// _bodyShare is the part of the memory that large bodies of answers may take while
-	// they are read.
-	_bodyShare = 0.25
+	// longer waits for answers to be written; the rest is for the end of the process.
+	_stopShare = 0.96
+	// _expectedShare is the fraction of the stop timeout by which a request must be expected
+	// to be answered to be accepted.
+	_expectedShare = 0.9
 	// _controlDescriptors is the number of descriptors that are kept for files, the store,
 	// other instances and look-ups; of the rest, callers and workers get a share each.
 	_controlDescriptors = 300
@@ -79,6 +80,7 @@
 
 	client       *platform.Client
 	pool         *exchange.Pool
+	memory       *bytebudget.Budget
 	forward      *forward.Service
 	frontend     *frontend.Server
 	watcher      *watch.Watcher
@@ -103,7 +105,8 @@
 	g.configuredAt = g.startedAt
 	g.client = platform.NewClient(s.Store.Address)
 	g.client.Restored = g.storeRestored
-	g.pool = &exchange.Pool{HeaderNames: platform.WorkerHeaders(), BodyBudget: int64(float64(s.MemoryMb) * _bodyShare * (1 << 20))}
+	g.pool = &exchange.Pool{HeaderNames: platform.WorkerHeaders()}
+	g.memory = newMemory(s.MemoryMb)
 	zones := make(map[string]string, len(s.Zones))
 	for _, z := range s.Zones {
 		zones[z.Name] = z.Region
@@ -116,7 +119,7 @@
 	}
 	g.forward = &forward.Service{
 		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
-		Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
+		Memory: g.memory, Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
 	g.permitfeed.Fleet = g.fleet
 	g.permitfeed.Workers = g.forward
@@ -130,7 +133,7 @@
 	g.limits = frontend.Limits{
 		HeaderBytes: _headerBytes, BodyBytes: _bodyBytes, HeaderTime: _headerTimeout, IdleTime: _idleTimeout,
 	}
-	g.frontend = &frontend.Server{HeaderNames: platform.CallerHeaders(), Handler: g.forward, Limits: g.currentLimits, Log: g.Log}
+	g.frontend = &frontend.Server{HeaderNames: platform.CallerHeaders(), Handler: g.forward, Limits: g.currentLimits, Memory: g.memory, Log: g.Log}
 	g.limitConnections(socket.DescriptorLimit())
 	g.directory.Self = directory.Member{
 		Name: s.Instance, Address: s.Callers.Address(), Zone: s.Zone, Region: s.Region,
@@ -151,13 +154,16 @@
 }
 
 // limitConnections divides the descriptors of the process, so that callers cannot take those
-// that the instance itself needs. 0 means that their number is not known.
+// that the instance itself needs. 0 means that their number is not known. There may be no more
+// callers than there is memory for.
 func (g *Gateway) limitConnections(descriptors int) {
+	g.frontend.MaxConns = maxCallers(g.memory)
 	if descriptors == 0 {
 		return
 	}
 	rest := float64(max(descriptors-_controlDescriptors, descriptors/2))
-	g.frontend.MaxConns, g.pool.MaxConns = int(rest*_callerShare), int(rest*_workerShare)
+	g.frontend.MaxConns = min(g.frontend.MaxConns, int(rest*_callerShare))
+	g.pool.MaxConns = int(rest * _workerShare)
 }
 
 // Run runs the instance until ctx ends and the graceful shutdown is complete.
@@ -256,7 +262,7 @@
 	g.mu.Unlock()
 	total := g.Settings.Stop().Seconds()
 	end := started.Add(seconds(total * _stopShare))
-	g.forward.Update(func(st *forward.State) { st.StopsAt = end })
+	g.forward.Update(func(st *forward.State) { st.StopsAt = started.Add(seconds(total * _expectedShare)) })
 	g.frontend.DisableKeepAlive()
 	g.registration.end(ctx)
 	wait(ctx, started.Add(min(seconds(total*_drainShare), _maxDrainTime)))
--- a/relay/body.go
+++ b/relay/body.go
@@ -77,7 +77,11 @@
 
 // Bytes returns the body of an answer if it is held in memory.
 func Bytes(a *Answer) ([]byte, bool) {
-	m, ok := a.Body.(*memoryBody)
+	body := a.Body
+	if hook, ok := body.(*closeHook); ok {
+		body = hook.ReadCloser
+	}
+	m, ok := body.(*memoryBody)
 	if !ok {
 		return nil, false
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,6 +22,7 @@
 	"strings"
 	"time"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/retry"
 )
 
@@ -121,6 +122,8 @@
 	Stream io.Reader
 	// Length is the number of bytes, or LengthUnknown.
 	Length int64
+	// Room is the memory that Bytes takes; nil if it is not counted.
+	Room *bytebudget.Lease
 
 	read bool
 }
@@ -179,6 +182,9 @@
 	FromZone string
 	// Tried names the workers of the local zone that were tried already.
 	Tried []string
+	// AnswerRoom is the memory that is reserved for the body of the answer; nil if it is not
+	// counted.
+	AnswerRoom *bytebudget.Lease
 }
 
 // Answer is the result of a request.
