Memory: small pieces are part of their connection, a panic gives back the room of an answer

Pieces up to 4 KB are not counted one by one, so that small requests take no lock of the budget. The room of an answer is given back also if the handler panics. A body that is read while the server shuts down may pause as long as before. An answer that is larger than expected waits up to 3 s for memory, half of its time at most. A request that waited for the answers before it does not start on a connection that closed.

--- a/bytebudget/bytebudget.go
+++ b/bytebudget/bytebudget.go
@@ -76,7 +76,7 @@
 // Fill makes the lease hold at least a number of bytes, and waits for them for a limited time,
 // like Acquire.
 func (l *Lease) Fill(ctx context.Context, to int64, wait time.Duration) bool {
-	if l == nil || to <= l.held {
+	if l.has(to) {
 		return true
 	}
 	return l.budget.claim(ctx, l, &Claim{Use: l.use, Bytes: to - l.held}, wait)
@@ -85,7 +85,7 @@
 // Grow is Fill for what must not be dropped: it goes before all others, and up to the size of a
 // small piece there is always room.
 func (l *Lease) Grow(ctx context.Context, to int64, wait time.Duration) bool {
-	if l == nil || to <= l.held {
+	if l.has(to) {
 		return true
 	}
 	b := l.budget
@@ -99,6 +99,11 @@
 	return b.claim(ctx, l, &Claim{Use: l.use, Bytes: to - l.held, Urgent: true}, wait)
 }
 
+// has reports whether the lease needs no more to hold a number of bytes.
+func (l *Lease) has(n int64) bool {
+	return l == nil || n <= l.held || n <= l.budget.ledger.Shares.Free
+}
+
 // Shrink gives back what the lease holds beyond a number of bytes.
 func (l *Lease) Shrink(to int64) {
 	if l == nil || to >= l.held {
--- a/bytebudget/ledger.go
+++ b/bytebudget/ledger.go
@@ -37,8 +37,10 @@
 	// Most is the part of the limit that large pieces of a use may take. A use that is
 	// missing may take all of it.
 	Most map[Use]float64
-	// Small is the size in bytes up to which a piece is small, and Reserve the part of the
-	// limit that large pieces leave to small ones.
+	// Free is the size in bytes up to which a piece is not counted; it is part of what its
+	// connection is counted with. Small is the size up to which a piece is small, and Reserve
+	// the part of the limit that large pieces leave to small ones.
+	Free    int64
 	Small   int64
 	Reserve float64
 }
@@ -119,6 +121,11 @@
 // Ask grants a claim, or lets it wait. A waiting claim is granted by a later Give, or ended by
 // Withdraw.
 func (l *Ledger) Ask(c *Claim) {
+	if len(l.waiting) == 0 && l.fits(c) {
+		c.granted = true
+		l.Take(c.Use, c.Bytes)
+		return
+	}
 	l.claims++
 	c.number = l.claims
 	l.waiting = append(l.waiting, c)
@@ -182,11 +189,13 @@
 
 // grant grants the waiting claims for which there is room, in their order.
 func (l *Ledger) grant() (granted []*Claim) {
+	if len(l.waiting) == 0 {
+		return nil
+	}
 	blocked, allBlocked := make(map[Use]bool), false
 	rest := l.waiting[:0]
 	for _, c := range l.waiting {
-		small := c.Bytes <= l.Shares.Small
-		if !small && (allBlocked || blocked[c.Use]) || !l.fits(c, small) {
+		if !l.isSmall(c) && (allBlocked || blocked[c.Use]) || !l.fits(c) {
 			blocked[c.Use] = true
 			allBlocked = allBlocked || c.Urgent
 			rest = append(rest, c)
@@ -203,12 +212,13 @@
 
 // fits reports whether there is room for a claim. A piece that exceeds the share of its use is
 // served when it is the only one.
-func (l *Ledger) fits(c *Claim, small bool) bool {
+func (l *Ledger) fits(c *Claim) bool {
 	room := l.Limit - l.total
-	switch {
-	case small, c.Urgent, l.held[c.Use] == 0:
+	if c.Urgent || l.isSmall(c) || l.held[c.Use] == 0 {
 		return c.Bytes <= room
 	}
 	reserve := int64(l.Shares.Reserve * float64(l.Limit))
 	return c.Bytes <= min(room-reserve, l.Most(c.Use)-l.held[c.Use])
 }
+
+func (l *Ledger) isSmall(c *Claim) bool { return c.Bytes <= l.Shares.Small }
--- a/exchange/body.go
+++ b/exchange/body.go
@@ -23,9 +23,10 @@
 	_defaultBodyBudget = 2 * _maxBody
 	// _firstBody is the first size of the buffer of a body whose length is unknown, in bytes.
 	_firstBody = 512
-	// _roomWait is how long an answer that arrives waits for memory: a worker cuts off an
-	// answer that stays unread for some seconds.
-	_roomWait = time.Second
+	// _roomWait is the longest time for which an answer that arrives waits for memory, half of
+	// the time that is left at most: a worker cuts off an answer that stays unread for some
+	// seconds.
+	_roomWait = 3 * time.Second
 )
 
 // readBody reads the body of an answer. It fails with errTooLarge when the body exceeds
@@ -44,7 +45,7 @@
 		return nil, err
 	}
 	if resp.ContentLength > 0 {
-		if !room.Grow(ctx, resp.ContentLength, _roomWait) {
+		if !grow(ctx, room, resp.ContentLength) {
 			return nil, errTooLarge
 		}
 		buf := make([]byte, resp.ContentLength)
@@ -65,7 +66,7 @@
 	for {
 		if len(buf) == cap(buf) {
 			// The old buffer stays until the bytes are copied.
-			if len(buf) > _maxBody || !room.Grow(ctx, int64(3*cap(buf)), _roomWait) {
+			if len(buf) > _maxBody || !grow(ctx, room, int64(3*cap(buf))) {
 				return nil, errTooLarge
 			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
@@ -81,6 +82,15 @@
 	}
 }
 
+// grow takes memory for an answer that arrives.
+func grow(ctx context.Context, room *bytebudget.Lease, size int64) bool {
+	wait := _roomWait
+	if at, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(at)/2)
+	}
+	return room.Grow(ctx, size, wait)
+}
+
 // budget returns the budget of the bodies whose requests bring no room for their answer.
 func (p *Pool) budget() *bytebudget.Budget {
 	p.budgetOnce.Do(func() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -280,6 +280,8 @@
 	// team is the team of the caller, or nil if the configuration holds no teams or the route
 	// is open.
 	team *team.Team
+	// answerHolds is set when the memory for the answer is given back with the answer.
+	answerHolds bool
 	// releases give back what the request took, in reverse order.
 	releases []func()
 }
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// _uncountedBytes is the size up to which no room is taken for an answer in advance, in
-	// bytes: it fits into what a connection is counted with.
-	_uncountedBytes = 4 << 10
 	// _largeAnswer is the expected size of an answer of a kind whose answers are large, in
 	// bytes, while none was seen.
 	_largeAnswer = 1 << 20
@@ -34,14 +31,16 @@
 		return nil
 	}
 	size := s.expectedSize(rs)
-	room, ok := s.Memory.Lease(bytebudget.Answers), true
-	if size > _uncountedBytes {
-		room, ok = s.Memory.Acquire(ctx, bytebudget.Answers, size, 0)
-	}
+	room, ok := s.Memory.Acquire(ctx, bytebudget.Answers, size, 0)
 	if !ok {
 		return refusal(relay.NoMemory, jittered(s.Memory.Pause(bytebudget.Answers, size)))
 	}
 	rs.request.AnswerRoom = room
+	rs.onRelease(func() {
+		if !rs.answerHolds {
+			room.Release()
+		}
+	})
 	return nil
 }
 
@@ -65,10 +64,9 @@
 	data, _ := relay.Bytes(a)
 	room.Shrink(int64(len(data)))
 	route, received := rs.route.Name, rs.request.Received
+	rs.answerHolds = true
 	if a.Outcome != retry.Run || a.Status >= http.StatusMultipleChoices {
-		if room.Held() > 0 {
-			a.OnClose(room.Release)
-		}
+		a.OnClose(room.Release)
 		return
 	}
 	size := float64(len(data))
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -87,7 +87,7 @@
 		case err == io.EOF:
 			return buf, nil
 		case err == nil:
-		case c.isTimeout(err) && !c.isStopped() && time.Since(progress) < c.stall(bytebudget.Requests, room, _bodyReadTimeout):
+		case c.isTimeout(err) && !c.readingStopped() && time.Since(progress) < c.stall(bytebudget.Requests, room, _bodyReadTimeout):
 		default:
 			return nil, c.bodyError(err)
 		}
@@ -96,7 +96,7 @@
 
 // growRoom takes the memory for a body of a size. It waits for it for a short time.
 func (c *conn) growRoom(room *bytebudget.Lease, r *relay.Request, size int64) *requestError {
-	if room == nil || size <= _uncountedBytes {
+	if room == nil {
 		return nil
 	}
 	wait := _bodyRoomWait
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -107,6 +107,12 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+func (c *conn) readingStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
 // finish ends the connection unless the first byte of a request arrives until a time.
 // A request of which a part was read is read to its end.
 func (c *conn) finish(until time.Time) {
@@ -363,7 +369,8 @@
 			<-previous
 			return
 		}
-		size := max(answer.Length, 0)
+		data, _ := relay.Bytes(answer)
+		size := int64(len(data))
 		c.unsent.Add(size)
 		<-previous
 		c.write(r, answer, r.CloseConn || c.refused)
@@ -383,6 +390,9 @@
 	}
 	if c.unsent.Load() > _window {
 		<-previous
+		if c.closing.Load() || c.ctx.Err() != nil {
+			return nil
+		}
 	}
 	err := kernel.Guard(func() error {
 		if c.server.Handler.Exclusive(r) {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -55,8 +55,6 @@
 	// ConnectionBytes is the memory that a connection is counted with, in bytes: its
 	// goroutine, its buffers and a small request and answer.
 	ConnectionBytes = 24 << 10
-	// _uncountedBytes is the size up to which a body is part of ConnectionBytes.
-	_uncountedBytes = 4 << 10
 	// _window is the number of bytes of answers that may wait behind others on a connection:
 	// beyond it, its further requests wait, as a caller that reads slowly may hold no more.
 	_window = 256 << 10
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -17,6 +17,8 @@
 	_bodiesShare      = 0.8
 	_answersShare     = 0.8
 	_connectionsShare = 0.5
+	// _freeBytes is the size of a body that a connection is counted with.
+	_freeBytes = 4 << 10
 	// _smallBytes is the size of a small body, _smallShare the part of the budget that is kept
 	// for small ones.
 	_smallBytes = 64 << 10
@@ -29,7 +31,7 @@
 		Most: map[bytebudget.Use]float64{
 			bytebudget.Requests: _bodiesShare, bytebudget.Answers: _answersShare, bytebudget.Connections: _connectionsShare,
 		},
-		Small: _smallBytes, Reserve: _smallShare,
+		Free: _freeBytes, Small: _smallBytes, Reserve: _smallShare,
 	})
 }
 
