--- /dev/null
+++ b/ration/issuer.go
@@ -0,0 +1,116 @@
+package ration
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// _minBurst is the number of permits that a place may issue at once whatever the burst of
+	// the quota is; _burstTime is the time whose permits it may: questions for a team arrive
+	// that far apart.
+	_minBurst  = 2.0
+	_burstTime = 150 * time.Millisecond
+	// _maxGrant is the largest number of permits in one answer.
+	_maxGrant = 512
+	// _askerTime is the time for which an instance that asked counts as one that will ask
+	// again.
+	_askerTime = time.Second
+	// _minRetry and _maxRetry limit the time after which an instance asks a place again that had
+	// no permits left.
+	_minRetry = 50 * time.Millisecond
+	_maxRetry = 2 * time.Second
+)
+
+var (
+	_issued   = metrics.NewCounter("wigeonlock_team_permits_issued_total")
+	_declined = metrics.NewCounter("wigeonlock_team_permits_declined_total")
+)
+
+type accountKey struct {
+	team, place string
+}
+
+// account holds the permits of a place at its issuer.
+type account struct {
+	// rate and most are the permits per second and the largest number that may be left.
+	rate, most float64
+	left       float64
+	refilledAt time.Time
+	// askers are the instances that asked within _askerTime.
+	askers map[string]asker
+}
+
+type asker struct {
+	at     time.Time
+	number uint64
+}
+
+// set sets the quota of which the account is one of several equal parts. What was saved is cut
+// to what the quota allows.
+func (a *account) set(now time.Time, l Limit, places int) {
+	a.refill(now)
+	a.rate = l.PerSecond / float64(places)
+	a.most = max(l.Burst/float64(places), a.rate*_burstTime.Seconds(), _minBurst)
+	a.left = min(a.left, a.most)
+}
+
+func (a *account) refill(now time.Time) {
+	if now.After(a.refilledAt) {
+		a.left = min(a.left+a.rate*now.Sub(a.refilledAt).Seconds(), a.most)
+		a.refilledAt = now
+	}
+}
+
+// take takes up to want permits, one or at most half of those that are left, which leaves some
+// for the other instances.
+func (a *account) take(want int) int {
+	if want <= 0 || a.left < 1 {
+		return 0
+	}
+	n := min(want, max(int(a.left/2), 1), _maxGrant)
+	a.left -= float64(n)
+	return n
+}
+
+// retry returns the time after which an instance that did not get all that it wanted asks
+// again: after half of the others had their turn, as not all of them ask.
+func (a *account) retry() time.Duration {
+	turns := max(1-a.left, 0) + float64(max(len(a.askers)-1, 0))/2
+	return min(max(time.Duration(turns/a.rate*float64(time.Second)), _minRetry), _maxRetry)
+}
+
+func (a *account) forgetAskers(now time.Time) {
+	for name, last := range a.askers {
+		if now.Sub(last.at) >= _askerTime {
+			delete(a.askers, name)
+		}
+	}
+}
+
+// issue issues permits of a place, if this instance is its issuer. ok is false for a question
+// that was answered before.
+func (b *Book) issue(now time.Time, from string, number uint64, q Ask) (r Reply, ok bool) {
+	a := b.accounts[accountKey{q.Team, q.Place}]
+	r = Reply{Team: q.Team, Place: q.Place, Declined: a == nil || !b.office.held(now)}
+	if r.Declined {
+		_declined.Inc()
+		return r, true
+	}
+	if last, known := a.askers[from]; known && number != 0 && last.number == number {
+		return r, false
+	}
+	if a.askers == nil {
+		a.askers = make(map[string]asker)
+	}
+	a.askers[from] = asker{now, number}
+	a.refill(now)
+	a.left = min(a.left+float64(min(q.Unused, _maxGrant)), a.most)
+	r.Granted = a.take(q.Want)
+	_issued.Add(r.Granted)
+	if r.Granted < q.Want {
+		r.RetryMs = a.retry().Milliseconds()
+	}
+	return r, true
+}
