--- a/directory/directory.go
+++ b/directory/directory.go
@@ -142,6 +142,15 @@
 	return list
 }
 
+// Registrations returns the registered instances as the store has them.
+func (d *Directory) Registrations() []Member {
+	list := make([]Member, 0, len(d.members))
+	for _, e := range d.members {
+		list = append(list, e.Member)
+	}
+	return list
+}
+
 // Registered reports whether the store has the key of this incarnation of the
 // instance.
 func (d *Directory) Registered() bool {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -31,6 +31,7 @@
 	"github.com/wigeonlock/wigeonlock/limit"
 	"github.com/wigeonlock/wigeonlock/permit"
 	"github.com/wigeonlock/wigeonlock/placement"
+	"github.com/wigeonlock/wigeonlock/ration"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/suspect"
@@ -114,6 +115,9 @@
 	// instance that is alone.
 	Permits *permit.Book
 
+	// Rations keeps the quotas of teams. If it is nil, they are not limited.
+	Rations *ration.Book
+
 	// Suspects holds the contents that may end workers. If it is nil, Prepare sets one of an
 	// instance that is alone. HasEnded, if set, reports whether nothing listens at a worker's
 	// address any more; without it there are no suspects. TellSuspects, if set, passes on
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,7 @@
 	"github.com/wigeonlock/wigeonlock/permit"
 	"github.com/wigeonlock/wigeonlock/permitfeed"
 	"github.com/wigeonlock/wigeonlock/platform"
+	"github.com/wigeonlock/wigeonlock/ration"
 	"github.com/wigeonlock/wigeonlock/socket"
 	"github.com/wigeonlock/wigeonlock/store"
 	"github.com/wigeonlock/wigeonlock/suspect"
@@ -77,14 +79,17 @@
 	Settings *Settings
 	Log      *zap.Logger
 
-	client       *platform.Client
-	pool         *exchange.Pool
-	forward      *forward.Service
-	frontend     *frontend.Server
-	watcher      *watch.Watcher
-	changefeed   *changefeed.Server
-	movefeed     *movefeed.Feed
-	permitfeed   *permitfeed.Feed
+	client     *platform.Client
+	pool       *exchange.Pool
+	forward    *forward.Service
+	frontend   *frontend.Server
+	watcher    *watch.Watcher
+	changefeed *changefeed.Server
+	movefeed   *movefeed.Feed
+	permitfeed *permitfeed.Feed
+	rations    *ration.Book
+	// teams is set if the configuration has teams.
+	teams        atomic.Bool
 	registration *registration
 
 	mu               sync.Mutex
@@ -114,9 +119,11 @@
 	g.permitfeed.Neighbours = func() []string {
 		return g.servingNeighbours(func(m directory.Member) string { return m.Permits })
 	}
+	g.rations = newRations(g, s)
+	g.permitfeed.Rations = g.rations
 	g.forward = &forward.Service{
 		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
-		Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
+		Permits: permits, Rations: g.rations, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
 	g.permitfeed.Fleet = g.fleet
 	g.permitfeed.Workers = g.forward
@@ -259,6 +266,7 @@
 	end := started.Add(seconds(total * _stopShare))
 	g.forward.Update(func(st *forward.State) { st.StopsAt = end })
 	g.frontend.DisableKeepAlive()
+	g.rations.Resign()
 	g.registration.end(ctx)
 	wait(ctx, started.Add(min(seconds(total*_drainShare), _maxDrainTime)))
 	endCtx, cancel := context.WithDeadline(ctx, end)
@@ -310,6 +318,7 @@
 func (g *Gateway) sweep(now time.Time) {
 	g.forward.Sweep(now)
 	g.pool.Sweep(now)
+	g.tickRations(now)
 	ready := g.Ready() == nil
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -331,6 +340,7 @@
 	if !newer {
 		return
 	}
+	g.configureRations(c)
 	g.mu.Lock()
 	g.limits, g.configuredAt = frontend.Limits(c.Limits), time.Now()
 	g.mu.Unlock()
@@ -427,6 +437,7 @@
 	_restores.Inc()
 	_era.Set(float64(to))
 	g.registration.wake() // its lease ended with the era
+	g.rations.Restored(time.Now())
 	g.Log.Warn("store was restored from a copy", zap.Uint32("era", uint32(to)), zap.Uint32("previousEra", uint32(from)))
 }
 
--- a/gateway/http.go
+++ b/gateway/http.go
@@ -93,6 +93,7 @@
 	for _, gauge := range gauges {
 		metrics.WriteGaugeFloat64(w, gauge.name, gauge.value)
 	}
+	g.writeRations(w, now)
 	for id, perSecond := range status.Limits {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("wigeonlock_worker_limit{worker=%q}", id), perSecond)
 	}
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -61,6 +61,8 @@
 	// heldUntil is until when the store keeps the registration at least: a lease time after the
 	// last call that renewed it was sent. It is nil if the instance is not registered.
 	heldUntil atomic.Pointer[time.Time]
+	// number counts the registrations that were written.
+	number atomic.Int64
 }
 
 func instanceOf(key string) (string, bool) {
@@ -200,6 +202,7 @@
 	}
 	if err == nil {
 		r.writtenAt = time.Now()
+		r.number.Store(r.member.Registrations)
 		if !granted.IsZero() {
 			r.hold(granted)
 		}
--- a/permit/message.go
+++ b/permit/message.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/wigeonlock/wigeonlock/ration"
 	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
@@ -13,7 +14,7 @@
 const MaxLeaving = 16
 
 // Message is what instances send each other. Exactly one of Ask, Reply, Limits, Hello,
-// Leaving and Suspects is set.
+// Leaving, Suspects and Ration is set.
 type Message struct {
 	From string `json:"from"`
 	// Number identifies a question; its answer repeats it. 0 expects no answer but that
@@ -28,6 +29,8 @@
 	Leaving []worker.Leaving `json:"leaving,omitempty"`
 	// Suspects are news of requests that may end workers.
 	Suspects *suspect.News `json:"suspects,omitempty"`
+	// Ration is about the quotas of teams.
+	Ration *ration.Message `json:"ration,omitempty"`
 }
 
 // Notice is what an instance knows of the limit of a worker.
@@ -75,6 +78,9 @@
 	if m.Suspects != nil && !m.Suspects.Valid() {
 		return Message{}, false
 	}
+	if m.Ration != nil && !m.Ration.Valid() {
+		return Message{}, false
+	}
 	for _, l := range m.Leaving {
 		if l.Worker == "" || l.Born <= 0 || l.AgeMs < 0 {
 			return Message{}, false
--- a/permitfeed/permitfeed.go
+++ b/permitfeed/permitfeed.go
@@ -1,6 +1,6 @@
 // Package permitfeed carries the questions for permits and their answers between instances,
-// as datagrams, and the news which workers said that they leave and which requests may end
-// workers.
+// as datagrams, those for the quotas of teams, and the news which workers said that they leave
+// and which requests may end workers.
 //
 // Nothing is repeated: an answer that is lost costs a permit, and the requests that wait for
 // it go to other workers. An instance that starts asks its neighbours for all limits that
@@ -26,6 +26,7 @@
 	"github.com/wigeonlock/wigeonlock/datagram"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/permit"
+	"github.com/wigeonlock/wigeonlock/ration"
 	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
@@ -52,6 +53,8 @@
 	Fleet func() []string
 	// Workers is told what other instances learned of workers.
 	Workers Workers
+	// Rations, if set, keeps the quotas of teams.
+	Rations *ration.Book
 	Log     *zap.Logger
 
 	queue chan envelope
@@ -112,6 +115,11 @@
 	f.enqueue(envelope{recipients: f.Fleet, message: permit.Message{From: f.Book.Self, Suspects: &news}})
 }
 
+// SendRation queues a message about the quota of a team. It does not block.
+func (f *Feed) SendRation(address string, m ration.Message) {
+	f.Send(address, permit.Message{From: f.Book.Self, Ration: &m})
+}
+
 // Run sends and receives messages until ctx ends and returns nil. Without a socket it only
 // logs: the instance then gets no permits of others, and sends nothing to workers with a
 // limit.
@@ -135,9 +143,13 @@
 		return
 	}
 	_received.Inc()
-	if len(m.Leaving) > 0 || m.Suspects != nil {
+	switch {
+	case len(m.Leaving) > 0 || m.Suspects != nil:
 		f.adopt(m)
 		return
+	case m.Ration != nil:
+		f.receiveRation(conn, from, m)
+		return
 	}
 	var answers []permit.Message
 	if err := kernel.Guard(func() error { answers = f.Book.Receive(time.Now(), m); return nil }); err != nil {
@@ -157,6 +169,16 @@
 	}
 }
 
+// receiveRation handles a message about the quota of a team and answers it.
+func (f *Feed) receiveRation(conn *net.UDPConn, from netip.AddrPort, m permit.Message) {
+	if f.Rations == nil {
+		return
+	}
+	if answer := f.Rations.Receive(time.Now(), m.From, *m.Ration); answer != nil {
+		write(conn, from, permit.Message{From: f.Book.Self, Ration: answer})
+	}
+}
+
 // adopt records what a message says of workers.
 func (f *Feed) adopt(m permit.Message) {
 	if f.Workers == nil {
--- a/ration/holder.go
+++ b/ration/holder.go
@@ -18,9 +18,11 @@
 	_missesUntilSilent = 2
 	_probeInterval     = 500 * time.Millisecond
 	// _maxWaits is the number of questions that a request waits for, as long as the quota does not
-	// seem to be used up; it seems so for _overTime after a denial.
+	// seem to be used up; it seems so for _overTime after all places had no permits left, or after
+	// a denial while the demand is _overRate times what was granted.
 	_maxWaits = 3
 	_overTime = 500 * time.Millisecond
+	_overRate = 1.5
 	// _grantWeight is the weight of a new answer in the mean number of granted permits.
 	_grantWeight = 0.2
 	// _unansweredRetry is the time after which a caller may return if no issuer answers.
@@ -55,7 +57,7 @@
 	countedAt time.Time
 	rate      float64
 	grantRate float64
-	// deniedAt is when a request was denied last, usualGrant the mean number of permits in the
+	// deniedAt is when the quota seemed to be used up last, usualGrant the mean number of permits in the
 	// last answers.
 	deniedAt   time.Time
 	usualGrant float64
@@ -119,7 +121,13 @@
 		}
 	}
 	switch {
-	case waits >= _maxWaits, h.waitsInVain(now, waits):
+	case h.question == nil && paused == 0:
+		h.deniedAt = now
+	case waits >= _maxWaits:
+		if h.rate > _overRate*h.grantRate+1 {
+			h.deniedAt = now
+		}
+	case h.waitsInVain(now, waits):
 	case h.question != nil:
 		h.waiting++
 		return Taken{Verdict: Pending, Answered: h.question.done, Wait: AnswerTimeout}
@@ -343,7 +351,6 @@
 // one after the other at the rate at which this instance was granted permits.
 func (b *Book) deny(now time.Time, h *holding) Taken {
 	h.use.Denied++
-	h.deniedAt = now
 	denial, roomAt := Unanswered, time.Time{}
 	for _, place := range h.places {
 		owner, ok := b.owner(accountKey{h.limit.Team, place})
--- a/ration/issuer.go
+++ b/ration/issuer.go
@@ -1,16 +1,19 @@
 package ration
 
 import (
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
-	// _minBurst is the number of permits that a place may issue at once whatever the burst of
-	// the quota is; _burstTime is the time whose permits it may: questions for a team arrive
-	// that far apart.
-	_minBurst  = 2.0
+	// _extraBurst is the number of permits that all places together may issue at once beyond the
+	// burst: a place has none left while others have some. It is part of what a quota may be
+	// exceeded by: 20 requests and a tenth.
+	_extraBurst = 14.0
+	// _burstTime is the time whose permits may be issued at once whatever the burst is: questions
+	// for a team arrive that far apart.
 	_burstTime = 150 * time.Millisecond
 	// _maxGrant is the largest number of permits in one answer.
 	_maxGrant = 512
@@ -38,6 +41,8 @@
 	rate, most float64
 	left       float64
 	refilledAt time.Time
+	// wanted is the number of permits that were asked for within about _askerTime.
+	wanted float64
 	// askers are the instances that asked within _askerTime.
 	askers map[string]asker
 }
@@ -52,13 +57,15 @@
 func (a *account) set(now time.Time, l Limit, places int) {
 	a.refill(now)
 	a.rate = l.PerSecond / float64(places)
-	a.most = max(l.Burst/float64(places), a.rate*_burstTime.Seconds(), _minBurst)
+	a.most = (max(l.Burst, l.PerSecond*_burstTime.Seconds()) + _extraBurst) / float64(places)
 	a.left = min(a.left, a.most)
 }
 
 func (a *account) refill(now time.Time) {
 	if now.After(a.refilledAt) {
-		a.left = min(a.left+a.rate*now.Sub(a.refilledAt).Seconds(), a.most)
+		elapsed := now.Sub(a.refilledAt).Seconds()
+		a.left = min(a.left+a.rate*elapsed, a.most)
+		a.wanted *= math.Exp(-elapsed / _askerTime.Seconds())
 		a.refilledAt = now
 	}
 }
@@ -75,9 +82,11 @@
 }
 
 // retry returns the time after which an instance that did not get all that it wanted asks
-// again: after half of the others had their turn, as not all of them ask.
+// again: when there is one, and if more are wanted than there are, after half of the others had
+// their turn, as not all of them ask.
 func (a *account) retry() time.Duration {
-	turns := max(1-a.left, 0) + float64(max(len(a.askers)-1, 0))/2
+	excess := min(max(a.wanted/_askerTime.Seconds()/a.rate-1, 0), 1)
+	turns := max(1-a.left, 0) + excess*float64(max(len(a.askers)-1, 0))/2
 	return min(max(time.Duration(turns/a.rate*float64(time.Second)), _minRetry), _maxRetry)
 }
 
@@ -107,6 +116,7 @@
 	a.askers[from] = asker{now, number}
 	a.refill(now)
 	a.left = min(a.left+float64(min(q.Unused, _maxGrant)), a.most)
+	a.wanted += float64(min(q.Want, _maxGrant))
 	r.Granted = a.take(q.Want)
 	_issued.Add(r.Granted)
 	if r.Granted < q.Want {
--- a/ration/office.go
+++ b/ration/office.go
@@ -62,7 +62,7 @@
 	askedAllAt   time.Time
 	// clearAt is the earliest time of the office after the store was restored.
 	clearAt time.Time
-	// until is the end of the term, readAt when the registrations were read.
+	// until is the end of the term; readAt is when the registrations were read.
 	until  time.Time
 	readAt time.Time
 	// gone are the instances whose registrations ended within a term, and when; leaving are the
@@ -89,7 +89,7 @@
 
 // held reports whether the instance may issue permits.
 func (o *office) held(now time.Time) bool {
-	return !o.resigned && now.Before(o.until) && now.Before(o.readAt.Add(_term-_termMargin)) && !now.Before(o.clearAt)
+	return !o.resigned && now.Before(o.until) && !now.Before(o.clearAt)
 }
 
 // observe takes in the list of members. It reports whether the order may have changed.
@@ -150,8 +150,8 @@
 	if !o.claimed {
 		taken = b.completeClaim(now, v)
 	}
-	if o.claimed && !v.RenewedAt.IsZero() {
-		o.until = v.RenewedAt.Add(_term - _termMargin)
+	if o.claimed && !v.RenewedAt.IsZero() && b.listsSelf(v) {
+		o.until = earliest(v.RenewedAt, v.ReadAt).Add(_term - _termMargin)
 	}
 	return taken
 }
@@ -201,8 +201,7 @@
 // missingAcks returns the other instances of the region that have not answered the claim.
 // current is false if the list of members is older than the own registration.
 func (b *Book) missingAcks(v View) (missing []Member, current bool) {
-	self := b.order.byName[b.Self]
-	current = self.Started == v.Started && self.Registration >= b.office.registration
+	current = b.listsSelf(v)
 	add := func(m Member) {
 		if _, answered := b.office.acks[m.Name]; !answered && m.Region == b.Region && m.Name != b.Self {
 			missing = append(missing, m)
@@ -217,6 +216,12 @@
 	return missing, current
 }
 
+// listsSelf reports whether the list of members has the own registration.
+func (b *Book) listsSelf(v View) bool {
+	self := b.order.byName[b.Self]
+	return self.Started == v.Started && self.Registration >= b.office.registration
+}
+
 // membersHash identifies the registered instances of the region.
 func (b *Book) membersHash() (hash uint64) {
 	for _, m := range b.order.members {
@@ -308,6 +313,13 @@
 	}
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/ration/place.go
+++ b/ration/place.go
@@ -10,9 +10,8 @@
 const (
 	// _minPlaceRate is the number of requests per second below which a quota is not divided by
 	// zones: many small buckets are often empty while others are full.
-	_minPlaceRate = 2.0
-	// _maxPlaces is the largest number of places of a quota: with _minBurst permits each they
-	// exceed a quota without a burst by fewer requests than it may be exceeded by.
+	_minPlaceRate = 5.0
+	// _maxPlaces is the largest number of places of a quota: each needs a permit of _extraBurst.
 	_maxPlaces = 8
 )
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,6 +94,7 @@
 	UnconfirmedKey     Reason = "unconfirmedKey"
 	NoHomeRegion       Reason = "noHomeRegion"
 	TeamQuota          Reason = "teamQuota"
+	QuotaUnknown       Reason = "quotaUnknown"
 	NoMemory           Reason = "noMemory"
 )
 
