--- a/gateway/rations.go
+++ b/gateway/rations.go
@@ -25,6 +25,7 @@
 	}
 	return &ration.Book{
 		Self: s.Instance, Zone: s.Zone, Region: s.Region, Zones: zones, Send: g.permitfeed.SendRation, OverQuota: g.overQuota,
+		Appointed: func(places int) { g.Log.Info("issues permits of teams", zap.Int("places", places)) },
 	}
 }
 
--- a/ration/holder.go
+++ b/ration/holder.go
@@ -357,8 +357,8 @@
 		if !ok || b.isSilent(owner.Name) {
 			continue
 		}
-		r := h.rests[place]
-		if !r.declined {
+		r, asked := h.rests[place]
+		if asked && !r.declined {
 			denial = UsedUp
 		}
 		if at := latest(r.until, now.Add(_minRetry)); roomAt.IsZero() || at.Before(roomAt) {
--- a/ration/office.go
+++ b/ration/office.go
@@ -11,7 +11,7 @@
 	// _term is how long an instance may issue permits after its registration was renewed, or
 	// the registrations read. It outlasts an outage of the store of some seconds, and ends
 	// before callers come after a start of all instances.
-	_term = 8 * time.Second
+	_term = 7 * time.Second
 	// _termMargin is the part of a term that an issuer leaves unused, for news on their way and
 	// clocks that do not run equally fast.
 	_termMargin = 500 * time.Millisecond
@@ -62,9 +62,11 @@
 	askedAllAt   time.Time
 	// clearAt is the earliest time of the office after the store was restored.
 	clearAt time.Time
-	// until is the end of the term; readAt is when the registrations were read.
-	until  time.Time
-	readAt time.Time
+	// until is the end of the term; readAt is when the registrations were read last, and
+	// watchedAt since when they are read without a pause of a term.
+	until     time.Time
+	readAt    time.Time
+	watchedAt time.Time
 	// gone are the instances whose registrations ended within a term, and when; leaving are the
 	// incarnations that resigned.
 	gone    map[string]goneMember
@@ -95,6 +97,11 @@
 // observe takes in the list of members. It reports whether the order may have changed.
 func (b *Book) observe(now time.Time, v View) (changed bool) {
 	o := &b.office
+	if v.ReadAt.Sub(o.readAt) >= _term {
+		// Others may have come and gone since the last read.
+		o.lose()
+		o.watchedAt = now
+	}
 	o.readAt = v.ReadAt
 	if o.gone == nil {
 		o.gone, o.leaving = make(map[string]goneMember), make(map[string]int64)
@@ -158,13 +165,13 @@
 
 // completeClaim completes the claim if all instances of the region answered that may have
 // issued before, or after a term, and asks those that did not. An office that was held until
-// now goes on; otherwise nobody else of whom the others know may still issue, and all accounts
-// begin empty.
+// now goes on. Otherwise nobody may still issue whose registration ended, as far as the others
+// know or this instance, after a term; and all accounts begin empty.
 func (b *Book) completeClaim(now time.Time, v View) bool {
 	o := &b.office
 	missing, current := b.missingAcks(v)
 	held := o.held(now)
-	complete := current && len(missing) == 0 && (held || o.isClear())
+	complete := current && len(missing) == 0 && (held || o.isClear() || now.Sub(o.watchedAt) >= _term)
 	if complete || now.Sub(o.registeredAt) >= _term {
 		o.claimed = true
 		if !held {
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -138,6 +138,9 @@
 	Zones  []Zone
 	// Send sends a message to the address of an instance. It must not block.
 	Send func(address string, m Message)
+	// Appointed, if set, is called when the instance takes office, with the number of places. It
+	// must not block.
+	Appointed func(places int)
 	// OverQuota, if set, is called when the quota of a team is used up, at most once in
 	// _reportInterval for a team. It must not block.
 	OverQuota func(use Use)
@@ -184,9 +187,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := b.observe(now, v)
-	if b.claim(now, v) || changed {
+	taken := b.claim(now, v)
+	if taken || changed {
 		b.appoint(now)
 	}
+	if taken && b.Appointed != nil {
+		b.Appointed(len(b.accounts))
+	}
 	for team, h := range b.holdings {
 		if h.question != nil && now.Sub(h.question.at) >= AnswerTimeout {
 			b.endQuestion(now, h)
