--- a/gateway/http.go
+++ b/gateway/http.go
@@ -13,9 +13,6 @@
 	"github.com/wigeonlock/wigeonlock/platform"
 )
 
-// _maxTeamMetrics limits the teams that have metrics of their own.
-const _maxTeamMetrics = 20
-
 // readiness returns the handler that reports whether the instance serves callers.
 func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
@@ -99,6 +96,7 @@
 	for name, value := range memoryGauges(g.memory) {
 		metrics.WriteGaugeFloat64(w, name, value)
 	}
+	g.writeRations(w, now)
 	for id, perSecond := range status.Limits {
 		metrics.WriteGaugeFloat64(w, fmt.Sprintf("wigeonlock_worker_limit{worker=%q}", id), perSecond)
 	}
