Loads of workers told within the region, and earlier ends among warm workers

Load answered: workers that are unevenly busy, slow for moments, or refuse, of which each instance sees few answers. Cause: what an instance knew of a worker was older than a run takes. Answers that waited counted as demand, so that a region with queues seemed to need a multiple of its slots and gave its objects to others, where they ran cold. When all workers of a service refuse part of their requests, all passed for unhealthy, and full ones found no taker. Change: movefeed tells loads that decide something, ten times a second; estimate holds pace, mean runs and waits; a request goes where its object is warm and it ends earlier; demand is counted without waits; failures count beyond those of the service.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,7 +27,8 @@
 		rs.unknown = true
 	}
 	report := reportOf(result)
-	report.Load, report.Warm, report.Large = rs.choice.Load, rs.choice.Warm, rs.route.Kind.Large()
+	report.Load, report.Warm = rs.choice.Load, rs.choice.Warm
+	report.Large, report.Route = rs.route.Kind.Large(), rs.route.Name
 	if report.Outcome == placement.WrongWorker || report.Outcome == placement.Unreachable {
 		s.Exchange.CloseIdle(target.Address)
 	}
@@ -48,7 +49,7 @@
 func reportOf(r exchange.Result) placement.Report {
 	report := placement.Report{Outcome: placement.Answered, Took: r.Took, Opened: r.Opened, Rest: r.Rest}
 	if r.Load != nil {
-		report.HasLoad, report.Running, report.Waiting = true, r.Load.Running, r.Load.Waiting
+		report.HasLoad, report.Running, report.Waiting, report.Pace = true, r.Load.Running, r.Load.Waiting, r.Load.Pace
 	}
 	switch r.Fault {
 	case exchange.None:
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -33,6 +33,7 @@
 	var permitted <-chan struct{}
 	request := placement.Request{
 		Service:         rs.service,
+		Route:           rs.route.Name,
 		Object:          rs.object(),
 		Sticky:          rs.sticky(),
 		Again:           again,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,6 +102,9 @@
 	// Moved, if set, is called when an object moves to another worker. It must not
 	// block.
 	Moved func(m placement.Move)
+	// Loaded, if set, is called with the load of a worker that the other instances of the
+	// region should know. It must not block.
+	Loaded func(l placement.WorkerLoad)
 	// Left, if set, is called when an incarnation of a worker said in an answer to this
 	// instance that it leaves. It must not block.
 	Left func(l worker.Leaving)
@@ -136,7 +139,7 @@
 	s.state = State{Workers: worker.NewRegistry(), Closed: make(map[string]bool), SharedLimits: limits, PeakInstances: 2 * len(s.Zones)}
 	s.placer = placement.Placer{
 		Region: s.Region, RegionOf: func(zone string) string { return s.Zones[zone] },
-		Changed: s.logCondition, Moved: s.Moved,
+		Changed: s.logCondition, Moved: s.Moved, Loaded: s.Loaded,
 	}
 	regions := make(map[string]struct{})
 	for _, region := range s.Zones {
@@ -183,6 +186,18 @@
 	}
 }
 
+// AdoptLoads applies what workers reported to another instance of the region.
+func (s *Service) AdoptLoads(loads []placement.WorkerLoad) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range loads {
+		if w := s.state.Workers.Get(l.Worker); w != nil {
+			s.placer.AdoptLoad(now, w, l)
+		}
+	}
+}
+
 // IdleConnClosed marks the worker at an address as suspected after it closed an
 // idle connection: it may have ended.
 func (s *Service) IdleConnClosed(address string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 		return g.servingNeighbours(func(m directory.Member) string { return m.Permits })
 	}
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Loaded: g.movefeed.TellLoad, Left: g.permitfeed.TellLeaving,
 		Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
 	g.permitfeed.Fleet = g.fleet
--- a/movefeed/movefeed.go
+++ b/movefeed/movefeed.go
@@ -1,11 +1,14 @@
 // Package movefeed tells the other instances of a region, by datagrams, to which
-// workers objects have moved.
+// workers objects have moved, and which workers are busy.
 //
 // Instances of a region send requests for the same objects. If each of them moved an
 // object by itself, the object would run cold on as many workers. A datagram that is
 // lost costs one such run: nothing is repeated. An instance that starts asks the others
 // for all moves that they know.
 //
+// Each instance sees few of the answers of a worker, and what it saw last is older than a run
+// takes. What the others saw is sent a few times a second, the last of each worker.
+//
 // # Usage
 //
 //	f := &movefeed.Feed{Listen: "10.1.0.9:7620", Neighbours: neighbours, Moves: service, Log: log}
@@ -16,8 +19,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -40,6 +45,11 @@
 	// the number of questions.
 	_askInterval = 300 * time.Millisecond
 	_maxAsks     = 10
+	// _loadInterval is the time between two datagrams about loads. It is short against the
+	// time for which a load or a pace holds.
+	_loadInterval = 100 * time.Millisecond
+	// _maxLoads is the number of loads in one datagram, of about 80 bytes each.
+	_maxLoads = 15
 )
 
 // Moves holds the moves that an instance knows.
@@ -48,6 +58,8 @@
 	Moves(limit int) []placement.Move
 	// AdoptMoves applies moves of a neighbour.
 	AdoptMoves(moves []placement.Move)
+	// AdoptLoads applies loads of workers that a neighbour saw.
+	AdoptLoads(loads []placement.WorkerLoad)
 }
 
 // Feed sends and receives moves. The exported fields are set before Run.
@@ -61,24 +73,38 @@
 	Log        *zap.Logger
 
 	queue chan placement.Move
+	loads chan placement.WorkerLoad
 }
 
 // message is the content of a datagram: a question, or moves.
 type message struct {
-	Ask   bool             `json:"ask,omitempty"`
-	Moves []placement.Move `json:"moves,omitempty"`
+	Ask   bool                   `json:"ask,omitempty"`
+	Moves []placement.Move       `json:"moves,omitempty"`
+	Loads []placement.WorkerLoad `json:"loads,omitempty"`
 }
 
 var (
-	_told     = metrics.NewCounter("wigeonlock_moves_told_total")
-	_heard    = metrics.NewCounter("wigeonlock_moves_heard_total")
-	_dropped  = metrics.NewCounter("wigeonlock_moves_dropped_total")
-	_unusable = metrics.NewCounter("wigeonlock_moves_unusable_total")
+	_told         = metrics.NewCounter("wigeonlock_moves_told_total")
+	_heard        = metrics.NewCounter("wigeonlock_moves_heard_total")
+	_dropped      = metrics.NewCounter("wigeonlock_moves_dropped_total")
+	_loadsTold    = metrics.NewCounter("wigeonlock_loads_told_total")
+	_loadsHeard   = metrics.NewCounter("wigeonlock_loads_heard_total")
+	_loadsDropped = metrics.NewCounter("wigeonlock_loads_dropped_total")
+	_unusable     = metrics.NewCounter("wigeonlock_moves_unusable_total")
 )
 
 // New returns a feed. Tell may be called before Run.
 func New() *Feed {
-	return &Feed{queue: make(chan placement.Move, _queue)}
+	return &Feed{queue: make(chan placement.Move, _queue), loads: make(chan placement.WorkerLoad, _queue)}
+}
+
+// TellLoad queues the load of a worker for the neighbours. It does not block.
+func (f *Feed) TellLoad(l placement.WorkerLoad) {
+	select {
+	case f.loads <- l:
+	default:
+		_loadsDropped.Inc()
+	}
 }
 
 // Tell queues a move for the neighbours. It does not block.
@@ -115,19 +141,29 @@
 		f.write(conn, from, f.Moves.Moves(_maxMoves*_maxAnswers))
 		return
 	}
-	_heard.Add(len(m.Moves))
-	if err := kernel.Guard(func() error { f.Moves.AdoptMoves(m.Moves); return nil }); err != nil {
-		f.Log.Error("moves panicked", zap.Error(err))
+	if len(m.Loads) > 0 {
+		_loadsHeard.Add(len(m.Loads))
+		f.adopt(func() { f.Moves.AdoptLoads(m.Loads) })
+		return
 	}
+	_heard.Add(len(m.Moves))
+	f.adopt(func() { f.Moves.AdoptMoves(m.Moves) })
 	select {
 	case answered <- struct{}{}:
 	default:
 	}
 }
 
+// adopt runs f, which applies what a neighbour told.
+func (f *Feed) adopt(apply func()) {
+	if err := kernel.Guard(func() error { apply(); return nil }); err != nil {
+		f.Log.Error("news of a neighbour panicked", zap.Error(err))
+	}
+}
+
 func decode(data []byte) (m message, ok bool) {
 	err := json.Unmarshal(data, &m)
-	return m, err == nil && len(m.Moves) <= _maxMoves
+	return m, err == nil && len(m.Moves) <= _maxMoves && len(m.Loads) <= _maxLoads
 }
 
 // send asks the neighbours for their moves, and then sends each queued move to all of
@@ -136,6 +172,8 @@
 	asks := 0
 	ask := time.NewTicker(_askInterval)
 	defer ask.Stop()
+	tell := time.NewTicker(_loadInterval)
+	defer tell.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -155,6 +193,29 @@
 			}
 			f.broadcast(conn, moves)
 			_told.Add(len(moves))
+		case <-tell.C:
+			f.sendLoads(conn)
+		}
+	}
+}
+
+// sendLoads sends the queued loads to the neighbours, the last of each worker.
+func (f *Feed) sendLoads(conn *net.UDPConn) {
+	if len(f.loads) == 0 {
+		return
+	}
+	last := make(map[string]placement.WorkerLoad)
+	for range len(f.loads) {
+		l := <-f.loads
+		last[l.Worker] = l
+	}
+	loads := slices.Collect(maps.Values(last))
+	_loadsTold.Add(len(loads))
+	for part := range slices.Chunk(loads, _maxLoads) {
+		for _, neighbour := range f.Neighbours() {
+			if to, err := netip.ParseAddrPort(neighbour); err == nil {
+				f.writeMessage(conn, to, message{Loads: part})
+			}
 		}
 	}
 }
--- a/movefeed/movefeed_test.go
+++ b/movefeed/movefeed_test.go
@@ -21,6 +21,7 @@
 type moves struct {
 	mu    sync.Mutex
 	known []placement.Move
+	loads []placement.WorkerLoad
 }
 
 func (m *moves) Moves(limit int) []placement.Move {
@@ -35,6 +36,12 @@
 	m.known = append(m.known, list...)
 }
 
+func (m *moves) AdoptLoads(list []placement.WorkerLoad) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loads = append(m.loads, list...)
+}
+
 func (m *moves) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -140,3 +147,18 @@
 		}
 	})
 }
+
+func TestNeighboursHearOfLoads(t *testing.T) {
+	one, two := freeAddress(t), freeAddress(t)
+	known := &moves{}
+	start(t, two, known, one)
+	f := start(t, one, &moves{}, two, "not an address")
+	want := placement.WorkerLoad{Worker: "i-1", Load: 9, Pace: 2.5}
+	assert.Eventually(t, func() bool {
+		f.TellLoad(placement.WorkerLoad{Worker: "i-1", Load: 3})
+		f.TellLoad(want)
+		known.mu.Lock()
+		defer known.mu.Unlock()
+		return len(known.loads) > 0 && known.loads[len(known.loads)-1] == want
+	}, _waitTimeout, 10*time.Millisecond)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,6 +32,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonlock/wigeonlock/estimate"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -53,6 +54,8 @@
 	// and _idleMaxAge the age from which load reports no longer tell that.
 	_idleLoad   = 0.4
 	_idleMaxAge = 5 * time.Second
+	// _earlierBy is the part of a run by which a request has to end earlier elsewhere.
+	_earlierBy = 0.25
 	// _coldRun is the time of a run on a worker where the object is cold, as a
 	// multiple of the time of a warm run.
 	_coldRun = 2.5
@@ -75,6 +78,8 @@
 // Request holds the properties of a request that decide its worker.
 type Request struct {
 	Service string
+	// Route is the name of the route: its runs take about the same time.
+	Route string
 	// Object identifies what the request concerns. The caller sets a unique value, such
 	// as the request ID, for requests without an object, which spreads them.
 	Object string
@@ -173,14 +178,18 @@
 	HasLoad bool
 	Running int
 	Waiting int
+	// Pace is the time that work takes on the worker's machine, relative to the usual time,
+	// or zero if the worker does not report it.
+	Pace float64
 	// Took is the time of the exchange. Load and Warm are those of the Choice.
 	Took time.Duration
 	Load float64
 	Warm bool
 	// Opened is the time at which the connection was established.
 	Opened time.Time
-	// Large is that of the Request.
+	// Large and Route are those of the Request.
 	Large bool
+	Route string
 	// Rest is the pause that the worker asked for, or zero.
 	Rest time.Duration
 }
@@ -195,12 +204,17 @@
 	Changed func(c Condition)
 	// Moved, if set, is called when an object moves. It must not block.
 	Moved func(m Move)
+	// Loaded, if set, is called with the load of a worker that the other instances of the
+	// region should know. It must not block.
+	Loaded func(l WorkerLoad)
 
 	known       map[string]*state
 	localShares map[shareKey]*localShare
 	ranking     []ranked
 	warm        warmObjects
 	places      map[string]*places
+	runs        estimate.Runs
+	failures    map[string]*failures
 }
 
 type ranked struct {
@@ -287,9 +301,12 @@
 	places := p.placesOf(r.Service)
 	at := max(p.indexOf(places.of(now, object)), 0)
 	place := p.choice(now, object, at)
+	if other := p.earlier(now, r, object, at, place); other.Worker != nil {
+		return other
+	}
 	s := p.state(place.Worker.ID)
 	full := s.full(now, r, place.Load)
-	if !full && s.health.cost(now) < _unhealthyCost {
+	if !full && p.cost(now, r.Service, s) < _unhealthyCost {
 		return place
 	}
 	if taker := p.taker(now, r, object, at); taker.Worker != nil {
@@ -333,7 +350,7 @@
 		}
 		c := p.choice(now, object, i)
 		s := p.state(c.Worker.ID)
-		if !c.Warm && c.Load >= _moveLoad || s.full(now, r, c.Load) || s.health.cost(now) >= _unhealthyCost || r.share(c.Worker) < 1 {
+		if !c.Warm && c.Load >= _moveLoad || s.full(now, r, c.Load) || p.cost(now, r.Service, s) >= _unhealthyCost || r.share(c.Worker) < 1 {
 			continue
 		}
 		if taken := c.Load + runCost(c.Warm); taken < cost {
--- a/placement/state.go
+++ b/placement/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonlock/wigeonlock/estimate"
 	"github.com/wigeonlock/wigeonlock/retry"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
@@ -45,6 +46,10 @@
 	shedUntil        time.Time
 	// meanLoad is the load over the last reports.
 	meanLoad float64
+	// pace is that of the worker's machine.
+	pace estimate.Pace
+	// told is set while the neighbours believe that the worker is busy or slow.
+	told bool
 	// faults is the number of consecutive failures; the worker is avoided until
 	// avoidUntil.
 	faults     int
@@ -126,13 +131,13 @@
 	if r.Rest > 0 {
 		p.startRest(now, s, w, r.Rest)
 	} else {
+		p.recordRun(Choice{Worker: w}, w.Service, r)
 		p.updateHealth(now, s, w, r)
 		p.notifyHealth(now, s, w)
 	}
 	if r.HasLoad {
-		weight := 1 - math.Exp(-now.Sub(s.reportedAt).Seconds()/_meanLoadTime.Seconds())
-		s.meanLoad += weight * (float64(r.Running+r.Waiting)/float64(max(w.Slots, 1)) - s.meanLoad)
-		s.reportedLoad, s.reportedInFlight, s.reportedAt = r.Running+r.Waiting, s.inFlight, now
+		p.recordLoad(now, s, w, r.Running+r.Waiting, r.Pace)
+		p.tellLoad(s, w, r)
 	}
 	if r.Rest > 0 {
 		// A worker that asks for a pause is sound, and says when it has capacity again.
@@ -156,25 +161,39 @@
 		if r.Outcome == Broken {
 			s.brokenAt = now
 		}
-		if now.Sub(s.faultAt) > _faultMax {
-			s.faults = 0
-		}
-		s.faultAt = now
-		s.faults++
-		if s.faults < _faultsToAvoid && r.Outcome != Unreachable {
-			return
-		}
-		pause := retry.Backoff{Base: _faultBase, Max: _faultMax}.Limit(max(s.faults-_faultsToAvoid, 0))
-		if !now.Before(s.avoidUntil) {
-			p.notify(Condition{Kind: Avoided, Worker: w.ID, Service: w.Service, Outcome: r.Outcome, Faults: s.faults, AvoidFor: pause})
-		}
-		s.avoidUntil = now.Add(pause)
+		p.recordFault(now, s, w, r.Outcome)
 	case WrongWorker:
 		s.wrongWorkerAt = now
 		p.notify(Condition{Kind: Displaced, Worker: w.ID, Service: w.Service, Outcome: r.Outcome})
 	}
 }
 
+// recordFault records a failure. From the second consecutive one on, the worker is avoided for
+// longer each time.
+func (p *Placer) recordFault(now time.Time, s *state, w *worker.Worker, cause Outcome) {
+	if now.Sub(s.faultAt) > _faultMax {
+		s.faults = 0
+	}
+	s.faultAt = now
+	s.faults++
+	if s.faults < _faultsToAvoid && cause != Unreachable {
+		return
+	}
+	pause := retry.Backoff{Base: _faultBase, Max: _faultMax}.Limit(max(s.faults-_faultsToAvoid, 0))
+	if !now.Before(s.avoidUntil) {
+		p.notify(Condition{Kind: Avoided, Worker: w.ID, Service: w.Service, Outcome: cause, Faults: s.faults, AvoidFor: pause})
+	}
+	s.avoidUntil = now.Add(pause)
+}
+
+// recordLoad records how many requests run or wait at a worker, and the pace of its machine.
+func (p *Placer) recordLoad(now time.Time, s *state, w *worker.Worker, load int, pace float64) {
+	weight := 1 - math.Exp(-now.Sub(s.reportedAt).Seconds()/_meanLoadTime.Seconds())
+	s.meanLoad += weight * (float64(load)/float64(max(w.Slots, 1)) - s.meanLoad)
+	s.reportedLoad, s.reportedInFlight, s.reportedAt = load, s.inFlight, now
+	s.pace.Record(now, pace)
+}
+
 // Ended records that nothing listens at the address of a worker any more. It is avoided until
 // its next entry, and may be cold then.
 func (p *Placer) Ended(now time.Time, w *worker.Worker) {
@@ -198,10 +217,16 @@
 // updateHealth updates the mean time of a run and the health of the worker.
 func (p *Placer) updateHealth(now time.Time, s *state, w *worker.Worker, r Report) {
 	share := p.localShareFor(shareKey{w.Service, r.Large})
+	refused := r.Outcome == Shed && r.HasLoad && r.Running+r.Waiting < w.Slots
+	switch r.Outcome {
+	case Answered, Errored, Failed, Broken, Shed:
+		p.failuresOf(w.Service).record(r.Outcome != Answered && (refused || r.Outcome != Shed))
+	}
 	switch r.Outcome {
 	case Answered:
 		if p.RegionOf(w.Zone) == p.Region {
-			share.recordRun(r.Took)
+			// A request whose run waited takes no more of a slot.
+			share.recordRun(time.Duration(r.Took.Seconds() / max(r.Load, 1) * float64(time.Second)))
 		}
 		if r.Warm && share.runs >= _minRuns {
 			s.health.recordRun(now, r.Took.Seconds()/(share.run.Seconds()*max(r.Load, 1)))
@@ -210,15 +235,32 @@
 	case Errored, Failed, Broken:
 		s.health.recordResult(now, true)
 	case Shed:
-		if r.HasLoad && r.Running+r.Waiting < w.Slots {
+		if refused {
 			s.health.recordResult(now, true)
 		}
 	}
 }
 
+// cost returns the cost of a run on a worker, relative to one on a healthy worker.
+func (p *Placer) cost(now time.Time, service string, s *state) float64 {
+	return s.health.costBeyond(now, p.failuresOf(service).rate)
+}
+
+func (p *Placer) failuresOf(service string) *failures {
+	f := p.failures[service]
+	if f == nil {
+		if p.failures == nil {
+			p.failures = make(map[string]*failures)
+		}
+		f = &failures{}
+		p.failures[service] = f
+	}
+	return f
+}
+
 // notifyHealth notifies when a worker becomes unhealthy or recovers.
 func (p *Placer) notifyHealth(now time.Time, s *state, w *worker.Worker) {
-	cost := s.health.cost(now)
+	cost := p.cost(now, w.Service, s)
 	switch {
 	case !s.unhealthy && cost >= _unhealthyCost:
 		s.unhealthy = true
--- a/placement/warmobjects.go
+++ b/placement/warmobjects.go
@@ -9,7 +9,7 @@
 const (
 	// _warmTime is the time for which an object counts as warm on a worker after
 	// this instance last sent a request for it there.
-	_warmTime = 10 * time.Second
+	_warmTime = 30 * time.Second
 	// _maxWarm limits the number of remembered pairs of object and worker.
 	_maxWarm = 1 << 14
 )
