--- a/forward/choose.go
+++ b/forward/choose.go
@@ -36,6 +36,7 @@
 		Route:           rs.route.Name,
 		Object:          rs.object(),
 		Sticky:          rs.sticky(),
+		TimeLeft:        rs.deadline.Sub(now),
 		Again:           again,
 		Returning:       rs.returning,
 		Large:           rs.route.Kind.Large(),
--- a/placement/earliest.go
+++ b/placement/earliest.go
@@ -29,7 +29,7 @@
 		}
 		c := p.choice(now, object, i)
 		s := p.state(c.Worker.ID)
-		if !c.Warm || c.Load >= _moveLoad || s.full(now, r, c.Load) || p.cost(now, r.Service, s) >= _unhealthyCost || r.share(c.Worker) < 1 {
+		if !c.Warm || c.Load >= _moveLoad || p.full(now, r, c) || p.cost(now, r.Service, s) >= _unhealthyCost || r.share(c.Worker) < 1 {
 			continue
 		}
 		if end := p.end(now, r, c, run); end < limit {
@@ -62,3 +62,15 @@
 	}
 	p.runs.Record(p.kindOf(service, r.Route, c), time.Duration(float64(r.Took)/max(r.Pace, 1)))
 }
+
+// full reports whether a worker has no capacity for a request.
+func (p *Placer) full(now time.Time, r Request, c Choice) bool {
+	return p.state(c.Worker.ID).full(now, r, c.Load) || p.inVain(now, r, c)
+}
+
+// inVain reports whether a request would end at a worker after its deadline, also if its run
+// took less than most.
+func (p *Placer) inVain(now time.Time, r Request, c Choice) bool {
+	run, known := p.runs.Of(p.kindOf(r.Service, r.Route, c))
+	return known && r.TimeLeft > 0 && time.Duration(_shortRun*float64(p.end(now, r, c, run))) > r.TimeLeft
+}
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -146,3 +146,23 @@
 	require.NotNil(t, c.Worker, "%v", c.Reason)
 	assert.NotEqual(t, full, c.Worker)
 }
+
+// TestRequestsInVainAreRefusedAtOnce has a caller return with 60 ms left, where runs take 200 and
+// requests wait: it took a place in the queue until its deadline passed.
+func TestRequestsInVainAreRefusedAtOnce(t *testing.T) {
+	workers := workersOf(map[string]int{"a": 1}, 4)
+	p := newPlacer()
+	r := requestFor("x")
+	r.Route, r.Returning = "r", true
+	for range 100 {
+		p.Begin(_start, r, workers[0])
+		p.End(_start, workers[0], Report{Outcome: Answered, Took: 200 * time.Millisecond, Warm: true, Route: "r"})
+	}
+	for range 8 {
+		p.Begin(_start, r, workers[0])
+	}
+	r.TimeLeft = time.Second
+	require.Equal(t, workers[0], p.Choose(_start, r, workers).Worker)
+	r.TimeLeft = 60 * time.Millisecond
+	assert.Equal(t, NoCapacity, p.Choose(_start, r, workers).Reason)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -56,6 +56,8 @@
 	_idleMaxAge = 5 * time.Second
 	// _earlierBy is the part of a run by which a request has to end earlier elsewhere.
 	_earlierBy = 0.25
+	// _shortRun is the part of the expected time in which a request may still end.
+	_shortRun = 0.5
 	// _coldRun is the time of a run on a worker where the object is cold, as a
 	// multiple of the time of a warm run.
 	_coldRun = 2.5
@@ -89,6 +91,8 @@
 	MayServe func(region string) bool
 	// Closed reports whether a zone accepts no new requests.
 	Closed func(zone string) bool
+	// TimeLeft is the time left to the deadline, or zero if there is none.
+	TimeLeft time.Duration
 	// Tried lists the IDs of the workers of earlier attempts.
 	Tried []string
 	// Large is set if answers are so large that transferring one from another
@@ -305,7 +309,7 @@
 		return other
 	}
 	s := p.state(place.Worker.ID)
-	full := s.full(now, r, place.Load)
+	full := p.full(now, r, place)
 	if !full && p.cost(now, r.Service, s) < _unhealthyCost {
 		return place
 	}
@@ -350,7 +354,7 @@
 		}
 		c := p.choice(now, object, i)
 		s := p.state(c.Worker.ID)
-		if !c.Warm && c.Load >= _moveLoad || s.full(now, r, c.Load) || p.cost(now, r.Service, s) >= _unhealthyCost || r.share(c.Worker) < 1 {
+		if !c.Warm && c.Load >= _moveLoad || p.full(now, r, c) || p.cost(now, r.Service, s) >= _unhealthyCost || r.share(c.Worker) < 1 {
 			continue
 		}
 		if taken := c.Load + runCost(c.Warm); taken < cost {
