--- a/forward/choose.go
+++ b/forward/choose.go
@@ -33,8 +33,10 @@
 	var permitted <-chan struct{}
 	request := placement.Request{
 		Service:         rs.service,
+		Route:           rs.route.Name,
 		Object:          rs.object(),
 		Sticky:          rs.sticky(),
+		TimeLeft:        rs.deadline.Sub(now),
 		Again:           again,
 		Returning:       rs.returning,
 		Large:           rs.route.Kind.Large(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,7 +125,7 @@
 	g.rations = newRations(g, s)
 	g.permitfeed.Rations = g.rations
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Loaded: g.movefeed.TellLoad, Left: g.permitfeed.TellLeaving,
 		Memory: g.memory, Permits: permits, Rations: g.rations, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
 	g.permitfeed.Fleet = g.fleet
