--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,6 +33,7 @@
 	"github.com/wigeonlock/wigeonlock/placement"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/seat"
 	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/team"
 	"github.com/wigeonlock/wigeonlock/worker"
@@ -102,6 +103,9 @@
 	// Moved, if set, is called when an object moves to another worker. It must not
 	// block.
 	Moved func(m placement.Move)
+	// Succeeded, if set, is called when a worker takes the objects of another one. It must not
+	// block.
+	Succeeded func(s seat.Succession)
 	// Left, if set, is called when an incarnation of a worker said in an answer to this
 	// instance that it leaves. It must not block.
 	Left func(l worker.Leaving)
@@ -138,6 +142,7 @@
 		Region: s.Region, RegionOf: func(zone string) string { return s.Zones[zone] },
 		Changed: s.logCondition, Moved: s.Moved,
 	}
+	s.placer.OnSuccession(s.succeeded)
 	regions := make(map[string]struct{})
 	for _, region := range s.Zones {
 		regions[region] = struct{}{}
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -17,7 +17,7 @@
 )
 
 // _logSampleEvery is the number of successful requests of which one is logged.
-const _logSampleEvery = 64
+const _logSampleEvery = 1
 
 // noRetryReason is why a request was not sent to another worker.
 type noRetryReason string
@@ -51,7 +51,10 @@
 	phases   map[phase]*metrics.Histogram
 }
 
-var _durations = newDurations()
+var (
+	_durations   = newDurations()
+	_successions = metrics.NewCounter("wigeonlock_successions_total")
+)
 
 func newDurations() map[catalog.Kind]*durations {
 	all := make(map[catalog.Kind]*durations)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 		return g.servingNeighbours(func(m directory.Member) string { return m.Permits })
 	}
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Succeeded: g.movefeed.TellSuccession, Left: g.permitfeed.TellLeaving,
 		Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
 	g.permitfeed.Fleet = g.fleet
@@ -369,6 +369,7 @@
 func (g *Gateway) workerChanged(w *worker.Worker, change string) {
 	g.Log.Info("worker "+change, zap.String("worker", w.ID), zap.String("service", w.Service),
 		zap.String("address", w.Address), zap.String("zone", w.Zone), zap.Stringer("revision", w.Revision))
+	g.forward.RecordChange(w, change)
 	if change == "gone" {
 		g.pool.CloseIdle(w.Address)
 	}
--- a/movefeed/movefeed.go
+++ b/movefeed/movefeed.go
@@ -1,5 +1,5 @@
 // Package movefeed tells the other instances of a region, by datagrams, to which
-// workers objects have moved.
+// workers objects have moved, and which workers replaced which.
 //
 // Instances of a region send requests for the same objects. If each of them moved an
 // object by itself, the object would run cold on as many workers. A datagram that is
@@ -26,6 +26,7 @@
 	"github.com/wigeonlock/wigeonlock/datagram"
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/placement"
+	"github.com/wigeonlock/wigeonlock/seat"
 )
 
 const (
@@ -48,6 +49,10 @@
 	Moves(limit int) []placement.Move
 	// AdoptMoves applies moves of a neighbour.
 	AdoptMoves(moves []placement.Move)
+	// Successions returns the workers that replaced another one, at most limit.
+	Successions(limit int) []seat.Succession
+	// AdoptSuccessions applies successions that a neighbour decided.
+	AdoptSuccessions(successions []seat.Succession)
 }
 
 // Feed sends and receives moves. The exported fields are set before Run.
@@ -60,13 +65,15 @@
 	Moves      Moves
 	Log        *zap.Logger
 
-	queue chan placement.Move
+	queue       chan placement.Move
+	successions chan seat.Succession
 }
 
-// message is the content of a datagram: a question, or moves.
+// message is the content of a datagram: a question, or moves and successions.
 type message struct {
-	Ask   bool             `json:"ask,omitempty"`
-	Moves []placement.Move `json:"moves,omitempty"`
+	Ask         bool              `json:"ask,omitempty"`
+	Moves       []placement.Move  `json:"moves,omitempty"`
+	Successions []seat.Succession `json:"successions,omitempty"`
 }
 
 var (
@@ -78,7 +85,16 @@
 
 // New returns a feed. Tell may be called before Run.
 func New() *Feed {
-	return &Feed{queue: make(chan placement.Move, _queue)}
+	return &Feed{queue: make(chan placement.Move, _queue), successions: make(chan seat.Succession, _queue)}
+}
+
+// TellSuccession queues a succession for the neighbours. It does not block.
+func (f *Feed) TellSuccession(s seat.Succession) {
+	select {
+	case f.successions <- s:
+	default:
+		_dropped.Inc()
+	}
 }
 
 // Tell queues a move for the neighbours. It does not block.
@@ -113,10 +129,20 @@
 	}
 	if m.Ask {
 		f.write(conn, from, f.Moves.Moves(_maxMoves*_maxAnswers))
+		for known := f.Moves.Successions(_maxMoves * _maxAnswers); len(known) > 0; {
+			n := min(len(known), _maxMoves)
+			f.writeMessage(conn, from, message{Successions: known[:n]})
+			known = known[n:]
+		}
 		return
 	}
-	_heard.Add(len(m.Moves))
-	if err := kernel.Guard(func() error { f.Moves.AdoptMoves(m.Moves); return nil }); err != nil {
+	_heard.Add(len(m.Moves) + len(m.Successions))
+	adopt := func() error {
+		f.Moves.AdoptMoves(m.Moves)
+		f.Moves.AdoptSuccessions(m.Successions)
+		return nil
+	}
+	if err := kernel.Guard(adopt); err != nil {
 		f.Log.Error("moves panicked", zap.Error(err))
 	}
 	select {
@@ -127,7 +153,7 @@
 
 func decode(data []byte) (m message, ok bool) {
 	err := json.Unmarshal(data, &m)
-	return m, err == nil && len(m.Moves) <= _maxMoves
+	return m, err == nil && len(m.Moves) <= _maxMoves && len(m.Successions) <= _maxMoves
 }
 
 // send asks the neighbours for their moves, and then sends each queued move to all of
@@ -147,30 +173,29 @@
 				ask.Stop()
 				continue
 			}
-			f.broadcast(conn, nil)
+			f.broadcast(conn, message{Ask: true})
 		case m := <-f.queue:
 			moves := []placement.Move{m}
 			for len(f.queue) > 0 && len(moves) < _maxMoves {
 				moves = append(moves, <-f.queue)
 			}
-			f.broadcast(conn, moves)
+			f.broadcast(conn, message{Moves: moves})
 			_told.Add(len(moves))
+		case s := <-f.successions:
+			f.broadcast(conn, message{Successions: []seat.Succession{s}})
+			_told.Inc()
 		}
 	}
 }
 
-// broadcast sends moves to all neighbours, or a question if there are none.
-func (f *Feed) broadcast(conn *net.UDPConn, moves []placement.Move) {
+// broadcast sends a message to all neighbours.
+func (f *Feed) broadcast(conn *net.UDPConn, m message) {
 	for _, neighbour := range f.Neighbours() {
 		to, err := netip.ParseAddrPort(neighbour)
 		if err != nil {
 			continue
 		}
-		if len(moves) > 0 {
-			f.write(conn, to, moves)
-			continue
-		}
-		f.writeMessage(conn, to, message{Ask: true})
+		f.writeMessage(conn, to, m)
 	}
 }
 
@@ -191,6 +216,6 @@
 		_, err = conn.WriteToUDPAddrPort(data, to)
 	}
 	if err != nil {
-		_dropped.Add(max(len(m.Moves), 1))
+		_dropped.Add(max(len(m.Moves)+len(m.Successions), 1))
 	}
 }
--- a/movefeed/movefeed_test.go
+++ b/movefeed/movefeed_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonlock/wigeonlock/placement"
+	"github.com/wigeonlock/wigeonlock/seat"
 )
 
 const _waitTimeout = 10 * time.Second
@@ -21,6 +22,19 @@
 type moves struct {
 	mu    sync.Mutex
 	known []placement.Move
+	seats []seat.Succession
+}
+
+func (m *moves) Successions(limit int) []seat.Succession {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]seat.Succession(nil), m.seats[:min(limit, len(m.seats))]...)
+}
+
+func (m *moves) AdoptSuccessions(list []seat.Succession) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seats = append(m.seats, list...)
 }
 
 func (m *moves) Moves(limit int) []placement.Move {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,6 +32,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonlock/wigeonlock/seat"
 	"github.com/wigeonlock/wigeonlock/worker"
 )
 
@@ -128,8 +129,10 @@
 	Rank int
 	// Warm is set if the object was sent to Worker recently.
 	Warm bool
-	// Moves is set if Worker becomes the place of the object.
-	Moves bool
+	// Moves is set if Worker becomes the place of the object, Homeward if it does so since the
+	// object's rank is highest there.
+	Moves    bool
+	Homeward bool
 	// RestsUntil is when the first of the workers that rest takes requests again. It is set
 	// if Reason is Resting.
 	RestsUntil time.Time
@@ -201,6 +204,9 @@
 	ranking     []ranked
 	warm        warmObjects
 	places      map[string]*places
+	seats       seat.Book
+	// placeLost is set while Choose runs for an object whose place takes no requests any more.
+	placeLost bool
 }
 
 type ranked struct {
@@ -219,6 +225,7 @@
 	if len(r.Tried) == 0 && !r.Again {
 		p.localShareFor(shareKey{r.Service, r.Large}).recordArrival(now)
 	}
+	p.placeLost = r.Sticky && p.lost(now, r, object, workers)
 	p.rank(now, r, object, workers)
 	leftOut := p.leaveOutLimited(r, object)
 	c := p.chooseRanked(now, r, object)
@@ -244,7 +251,7 @@
 		switch r.Permit(c.Worker, p.mayBeCold(now, c.Worker)) {
 		case Granted:
 			if r.Sticky {
-				p.recordPlace(now, r.Service, object, c)
+				p.recordPlace(now, r, object, c)
 			}
 			return c
 		case Pending:
@@ -255,10 +262,16 @@
 	}
 }
 
-func (p *Placer) recordPlace(now time.Time, service string, object uint64, c Choice) {
-	count := p.placesOf(service).record(now, object, c)
-	if c.Moves && p.Moved != nil {
-		p.Moved(Move{service, object, c.Worker.ID, count})
+// recordPlace records that a request for an object is sent to the worker of a choice. The other
+// instances of the region are told of the first place of an object too: their local shares may
+// differ, and with them the places that they would choose.
+func (p *Placer) recordPlace(now time.Time, r Request, object uint64, c Choice) {
+	p.countChange(r.Service, object, c)
+	places := p.placesOf(r.Service)
+	first := places.of(now, object) == ""
+	count := places.record(now, object, c)
+	if (c.Moves || first) && p.Moved != nil {
+		p.Moved(Move{r.Service, object, c.Worker.ID, count, c.Homeward || first})
 	}
 }
 
@@ -284,12 +297,20 @@
 	if len(p.ranking) == 0 {
 		return Choice{Reason: AllTried}
 	}
+	if p.placeLost && len(refused) == 0 {
+		if c := p.substitute(now, r, object); c.Worker != nil {
+			return c
+		}
+	}
 	places := p.placesOf(r.Service)
 	at := max(p.indexOf(places.of(now, object)), 0)
 	place := p.choice(now, object, at)
 	s := p.state(place.Worker.ID)
 	full := s.full(now, r, place.Load)
 	if !full && s.health.cost(now) < _unhealthyCost {
+		if home := p.homeward(now, r, object, at); home.Worker != nil {
+			return home
+		}
 		return place
 	}
 	if taker := p.taker(now, r, object, at); taker.Worker != nil {
@@ -408,7 +429,7 @@
 		if local {
 			localSlots += w.Slots
 		}
-		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), local, 0})
+		p.ranking = append(p.ranking, ranked{w, score(object, p.seats.Of(w.ID), float64(max(w.Slots, 1))), local, 0})
 	}
 	isLocal := unit(mix(object)) < p.updateLocalShare(now, r, localSlots, allSlots, workers)
 	sort.Slice(p.ranking, func(i, j int) bool {
--- a/placement/places.go
+++ b/placement/places.go
@@ -24,6 +24,8 @@
 	// busy limits moves to busy workers, away those to other regions.
 	busy moveLimit
 	away moveLimit
+	// home limits moves to where an object's rank is highest.
+	home moveLimit
 }
 
 // moveLimit limits the number of objects that move per second. Up to a second's worth,
@@ -43,18 +45,24 @@
 type placed struct {
 	id string
 	at time.Time
-	// moves counts the moves of the object.
+	// moves counts the places that the object has had.
 	moves uint32
+	// displaced is set if the object left its place as that was full or unhealthy.
+	displaced bool
+	// sent is the worker of the last request.
+	sent string
 }
 
-// Move is the move of an object to another worker. Of two moves of an object, the one
-// with more moves before it is newer; of two equal ones, all instances take the one to
+// Move is the move of an object to another worker, or its first place. Of two moves of an
+// object, the one with more moves before it is newer; of two equal ones, all instances take the one to
 // the worker with the lower ID.
 type Move struct {
 	Service string `json:"service"`
 	Object  uint64 `json:"object,string"`
 	Worker  string `json:"worker"`
 	Count   uint32 `json:"count"`
+	// Homeward is set if the object's rank is highest on the worker.
+	Homeward bool `json:"homeward,omitempty"`
 }
 
 // Adopt applies a move that another instance of the region made.
@@ -70,11 +78,11 @@
 	if !ok && len(places.last) >= _maxPlaced {
 		places.forget(now)
 	}
-	places.last[m.Object] = placed{id: m.Worker, at: now, moves: m.Count}
+	places.last[m.Object] = placed{id: m.Worker, at: now, moves: m.Count, displaced: !m.Homeward, sent: last.sent}
 	p.warm.record(now, m.Object, m.Worker)
 }
 
-// Moves returns the moves of objects that are still at their new place, at most limit.
+// Moves returns the places of objects, with the number of moves of each, at most limit.
 func (p *Placer) Moves(now time.Time, limit int) []Move {
 	var moves []Move
 	for service, places := range p.places {
@@ -83,7 +91,7 @@
 				return moves
 			}
 			if last.moves > 0 && now.Sub(last.at) < _placeTime {
-				moves = append(moves, Move{service, object, last.id, last.moves})
+				moves = append(moves, Move{service, object, last.id, last.moves, !last.displaced})
 			}
 		}
 	}
@@ -112,9 +120,14 @@
 	if !ok || c.Moves || now.Sub(last.at) >= _placeTime {
 		last.id = c.Worker.ID
 	}
+	if !ok {
+		last.moves = 1
+	}
 	if c.Moves {
 		last.moves++
+		last.displaced = !c.Homeward
 	}
+	last.sent = c.Worker.ID
 	for _, limit := range c.charged {
 		limit.left--
 	}
