--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -17,7 +17,7 @@
 )
 
 // _logSampleEvery is the number of successful requests of which one is logged.
-const _logSampleEvery = 1
+const _logSampleEvery = 64
 
 // noRetryReason is why a request was not sent to another worker.
 type noRetryReason string
--- a/seat/seat.go
+++ b/seat/seat.go
@@ -9,8 +9,8 @@
 // replacement.
 //
 // Which worker succeeds which is decided by hash, so that instances that learn of starts and
-// leavings in another order mostly agree. Where they don't, they tell each other, and the
-// pairs with the lower names hold.
+// leavings in another order mostly agree. Where they don't, they tell each other, and which of
+// the pairs hold follows from all of them.
 //
 // # Usage
 //
@@ -21,6 +21,9 @@
 package seat
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +39,8 @@
 	// _maxLeft is the number of workers that left above which older ones are forgotten: more
 	// than are replaced at once in the largest service.
 	_maxLeft = 4096
+	// _maxClaims limits the successions that other instances may tell.
+	_maxClaims = 4096
 )
 
 // Succession is a worker that has the seat of an earlier one.
@@ -51,7 +56,9 @@
 	// Taken, if set, is called when a worker takes the seat of another one. It must not block.
 	Taken func(s Succession)
 
-	// seats holds the inherited seats by worker, owners the workers by inherited seat.
+	// claims are all successions that this instance or another one decided, with their
+	// scores. Of those, seats and owners hold the ones in force, by worker and by seat.
+	claims map[Succession]uint64
 	seats  map[string]Succession
 	owners map[string]string
 	groups map[string]*group
@@ -154,25 +161,16 @@
 	b.left[worker] = departure{seat, now}
 }
 
-// Adopt records a succession that another instance decided. Of two that contradict each other,
-// all instances keep the one with the lower name.
+// Adopt records a succession that another instance decided.
 func (b *Book) Adopt(now time.Time, s Succession) {
-	if s.Worker == "" || s.Seat == "" || s.Worker == s.Seat {
+	if s.Worker == "" || s.Seat == "" || s.Worker == s.Seat || len(b.claims) >= _maxClaims {
 		return
 	}
-	if owner, ok := b.owners[s.Seat]; ok && owner <= s.Worker {
+	if _, gone := b.left[s.Worker]; gone {
 		return
 	}
-	if known, ok := b.seats[s.Worker]; ok && known.Seat <= s.Seat {
-		return
-	}
-	if owner, ok := b.owners[s.Seat]; ok {
-		b.free(owner)
-	}
-	b.free(s.Worker)
 	g := b.group(now, s.Group)
-	g.newcomers = without(g.newcomers, s.Worker)
-	g.vacant = without(g.vacant, s.Seat)
+	g.newcomers, g.vacant = without(g.newcomers, s.Worker), without(g.vacant, s.Seat)
 	b.put(s)
 }
 
@@ -196,17 +194,44 @@
 }
 
 func (b *Book) put(s Succession) {
-	if b.seats == nil {
-		b.seats, b.owners = make(map[string]Succession), make(map[string]string)
+	if _, known := b.claims[s]; known {
+		return
 	}
-	b.seats[s.Worker], b.owners[s.Seat] = s, s.Worker
+	if b.claims == nil {
+		b.claims = make(map[Succession]uint64)
+	}
+	b.claims[s] = score(s.Worker, s.Seat)
+	b.resolve()
 }
 
 // free makes a worker give up an inherited seat.
 func (b *Book) free(worker string) {
-	if s, ok := b.seats[worker]; ok {
-		delete(b.owners, s.Seat)
-		delete(b.seats, worker)
+	before := len(b.claims)
+	for s := range b.claims {
+		if s.Worker == worker {
+			delete(b.claims, s)
+		}
+	}
+	if len(b.claims) < before {
+		b.resolve()
+	}
+}
+
+// resolve derives the seats from the claims: those with the higher score come first, and each
+// worker and each seat is in one pair only. It depends on the claims alone, not on the order in
+// which an instance heard of them.
+func (b *Book) resolve() {
+	ordered := slices.SortedFunc(maps.Keys(b.claims), func(x, y Succession) int {
+		return cmp.Or(cmp.Compare(b.claims[y], b.claims[x]), cmp.Compare(x.Worker, y.Worker), cmp.Compare(x.Seat, y.Seat))
+	})
+	b.seats, b.owners = make(map[string]Succession, len(ordered)), make(map[string]string, len(ordered))
+	for _, s := range ordered {
+		if _, seated := b.seats[s.Worker]; seated {
+			continue
+		}
+		if _, taken := b.owners[s.Seat]; !taken {
+			b.seats[s.Worker], b.owners[s.Seat] = s, s.Worker
+		}
 	}
 }
 
@@ -228,13 +253,18 @@
 func closest(name string, list []pending) int {
 	best, highest := -1, uint64(0)
 	for i, p := range list {
-		if score := xxhash.Sum64String(min(name, p.name) + "/" + max(name, p.name)); best < 0 || score > highest {
+		if score := score(name, p.name); best < 0 || score > highest {
 			best, highest = i, score
 		}
 	}
 	return best
 }
 
+// score ranks the pair of two names, in either order.
+func score(a, b string) uint64 {
+	return xxhash.Sum64String(min(a, b) + "/" + max(a, b))
+}
+
 func recent(now time.Time, list []pending) []pending {
 	kept := list[:0]
 	for _, p := range list {
