--- a/cmd/wigeonlock/measure.go
+++ b/cmd/wigeonlock/measure.go
@@ -20,6 +20,7 @@
 			measurement("control", "control traffic of 10 to 540 instances", measure.Control),
 			measurement("policy", "decisions under load and faults, compared with simpler policies", measure.Policy),
 			measurement("placing", "assignment of objects under load patterns, compared with simpler policies", measure.Placement),
+			measurement("moves", "objects that change their worker when workers come and go, before and now", measure.Moves),
 			measurement("rollout", "time until an accepted edit is active, compared with polling", measure.Rollout),
 			measurement("quota", "use of a shift cap by escrow, compared with an equal split and one counter", measure.Quota),
 			capacityCommand(),
--- a/measure/text.go
+++ b/measure/text.go
@@ -6,14 +6,38 @@
 	"strings"
 )
 
-// Text formats a result struct as lines of "name value", where name is the JSON
+// Text formats a list of structs as a table, and a struct as lines of "name value", where name is the JSON
 // tag of a field, with one indented block for each element of a list of structs.
 func Text(result any) string {
 	var b strings.Builder
-	writeText(&b, reflect.ValueOf(result), "")
+	v := reflect.ValueOf(result)
+	if v.Kind() == reflect.Slice {
+		writeTable(&b, v)
+	} else {
+		writeText(&b, v, "")
+	}
 	return b.String()
 }
 
+// writeTable writes a list of structs as a table, with the JSON tags of the fields as headers.
+func writeTable(b *strings.Builder, rows reflect.Value) {
+	t := rows.Type().Elem()
+	for i := range t.NumField() {
+		fmt.Fprintf(b, "%-14s", t.Field(i).Tag.Get("json"))
+	}
+	b.WriteByte('\n')
+	for n := range rows.Len() {
+		for i := range t.NumField() {
+			if field := rows.Index(n).Field(i); field.Kind() == reflect.Float64 {
+				fmt.Fprintf(b, "%-14.4g", field.Float())
+			} else {
+				fmt.Fprintf(b, "%-14v", field.Interface())
+			}
+		}
+		b.WriteByte('\n')
+	}
+}
+
 func writeText(b *strings.Builder, v reflect.Value, indent string) {
 	t := v.Type()
 	for i := range t.NumField() {
