--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,6 +35,7 @@
 	"github.com/wigeonlock/wigeonlock/ration"
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
+	"github.com/wigeonlock/wigeonlock/seat"
 	"github.com/wigeonlock/wigeonlock/suspect"
 	"github.com/wigeonlock/wigeonlock/team"
 	"github.com/wigeonlock/wigeonlock/worker"
@@ -107,6 +108,9 @@
 	// Loaded, if set, is called with the load of a worker that the other instances of the
 	// region should know. It must not block.
 	Loaded func(l placement.WorkerLoad)
+	// Succeeded, if set, is called when a worker takes the objects of another one. It must not
+	// block.
+	Succeeded func(s seat.Succession)
 	// Left, if set, is called when an incarnation of a worker said in an answer to this
 	// instance that it leaves. It must not block.
 	Left func(l worker.Leaving)
@@ -155,6 +159,7 @@
 		Region: s.Region, RegionOf: func(zone string) string { return s.Zones[zone] },
 		Changed: s.logCondition, Moved: s.Moved, Loaded: s.Loaded,
 	}
+	s.placer.OnSuccession(s.succeeded)
 	regions := make(map[string]struct{})
 	for _, region := range s.Zones {
 		regions[region] = struct{}{}
--- a/forward/telemetry.go
+++ b/forward/telemetry.go
@@ -51,7 +51,10 @@
 	phases   map[phase]*metrics.Histogram
 }
 
-var _durations = newDurations()
+var (
+	_durations   = newDurations()
+	_successions = metrics.NewCounter("wigeonlock_successions_total")
+)
 
 func newDurations() map[catalog.Kind]*durations {
 	all := make(map[catalog.Kind]*durations)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,7 +125,7 @@
 	g.rations = newRations(g, s)
 	g.permitfeed.Rations = g.rations
 	g.forward = &forward.Service{
-		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Loaded: g.movefeed.TellLoad, Left: g.permitfeed.TellLeaving,
+		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Loaded: g.movefeed.TellLoad, Succeeded: g.movefeed.TellSuccession, Left: g.permitfeed.TellLeaving,
 		Memory: g.memory, Permits: permits, Rations: g.rations, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
 	}
 	g.permitfeed.Fleet = g.fleet
@@ -391,6 +391,7 @@
 func (g *Gateway) workerChanged(w *worker.Worker, change string) {
 	g.Log.Info("worker "+change, zap.String("worker", w.ID), zap.String("service", w.Service),
 		zap.String("address", w.Address), zap.String("zone", w.Zone), zap.Stringer("revision", w.Revision))
+	g.forward.RecordChange(w, change)
 	if change == "gone" {
 		g.pool.CloseIdle(w.Address)
 	}
