Soak: teams whose keys come and go

Change: stand-ins know teams and open routes, and record the team that a worker is told and whether it got a key. The soak's callers have keys, also removed and unknown ones, and name a team themselves. New invariants: teamNamed, knownKey, keyInForce; home and neverBack know teams and keys. Eight broken variants, one or more for each.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -36,6 +36,13 @@
 	Allowed Invariant = "allowed"
 	// Home: a request whose route has home regions is sent only to their zones.
 	Home Invariant = "home"
+	// TeamNamed: workers are told the team that holds the caller's key, and never the key.
+	TeamNamed Invariant = "teamNamed"
+	// KnownKey: a request runs only with a key that some configuration held, and is not refused
+	// with one that all held.
+	KnownKey Invariant = "knownKey"
+	// KeyInForce: an added key is admitted and a removed one refused in time.
+	KeyInForce Invariant = "keyInForce"
 	// Drained: a leaving worker receives no new requests.
 	Drained Invariant = "drained"
 	// Evacuated: the workers of a closed zone receive no requests.
@@ -102,6 +109,11 @@
 	Pipelined bool
 	// DisconnectedAt is when the caller gave up and closed the connection, or zero.
 	DisconnectedAt time.Time
+	// Key is the key that the caller sent, and Team the team that holds it in the configurations
+	// that contain it. UnknownKey is set if none contains it.
+	Key        string
+	Team       string
+	UnknownKey bool
 }
 
 // Served reports whether the call received its complete, successful answer.
@@ -131,6 +143,9 @@
 	Zone    string
 	Added   string
 	Removed string
+	// AddedKey and RemovedKey are the keys that a configuration added and removed.
+	AddedKey   string
+	RemovedKey string
 }
 
 // Disruption is a period in which a fault or a planned stop was injected.
@@ -249,6 +264,10 @@
 	// and Homes to the zones that it may be sent to.
 	Services map[string][]string
 	Homes    map[string][]string
+	// Open holds the first segments of paths for which callers need no key, and TeamHomes maps
+	// teams to the zones that their other requests may be sent to.
+	Open      map[string]bool
+	TeamHomes map[string][]string
 	// UnexpectedExits are the instances that exited although no stop was requested.
 	UnexpectedExits []string
 	// Ended is the end of the run, or zero while it lasts.
@@ -281,6 +300,9 @@
 	{Allowed, false, allowed},
 	{Home, false, home},
 	{NeverBack, false, neverBack},
+	{NeverBack, false, keysNeverBack},
+	{TeamNamed, false, teamNamed},
+	{KnownKey, false, knownKey},
 	{Budget, false, budget},
 	{Cold, true, cold},
 	{Limited, true, limited},
@@ -293,6 +315,7 @@
 	{Evacuated, true, evacuated},
 	{StaysAway, true, staysAway},
 	{InForce, true, inForce},
+	{KeyInForce, true, keysInForce},
 	{InTime, true, inTime},
 	{GivenUp, true, givenUp},
 	{Directory, true, directory},
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -39,8 +39,8 @@
 		Services: map[string][]string{"idem": {"s1"}, "pay": {"s1"}},
 		Homes:    map[string][]string{"home": {"a"}},
 		Acks: []check.Ack{
-			{At: at(1), Kind: check.AckConfig, Version: 5, Added: "/mark-5/"},
-			{At: at(8), Kind: check.AckConfig, Version: 9, Added: "/mark-9/", Removed: "/mark-5/"},
+			{At: at(1), Kind: check.AckConfig, Version: 5, Added: "/mark-5/", AddedKey: "key-5"},
+			{At: at(8), Kind: check.AckConfig, Version: 9, Added: "/mark-9/", Removed: "/mark-5/", AddedKey: "key-9", RemovedKey: "key-5"},
 			{At: at(10), Kind: check.AckLeaving, Worker: "w2"},
 			{At: at(12), Kind: check.AckClosed, Zone: "b"},
 		},
@@ -57,6 +57,31 @@
 	return l
 }
 
+// addKeyed adds a request with a key, which a worker runs if its status is 200.
+func addKeyed(l *check.Log, key, team string, sent float64, status int) {
+	c := call(fmt.Sprint("k", len(l.Calls)), "/idem/1", sent)
+	c.Key, c.Team, c.UnknownKey, c.Status = key, team, team == "", status
+	if status == 200 {
+		v := visit(c.ID, c.Path, sent+0.01)
+		v.Team = team
+		l.Visits = append(l.Visits, v)
+	}
+	l.Calls = append(l.Calls, c)
+}
+
+// TestValidKeys checks that keys may be refused and admitted as the configurations say.
+func TestValidKeys(t *testing.T) {
+	l := validLog()
+	addKeyed(l, "key-5", "office", 5, 200)
+	addKeyed(l, "key-9", "office", 5, 401)
+	addKeyed(l, "key-9", "office", 8.5, 401)
+	addKeyed(l, "key-5", "office", 9, 200)
+	addKeyed(l, "key-5", "office", 14, 401)
+	addKeyed(l, "key-9", "office", 14, 200)
+	addKeyed(l, "unknown", "", 14, 401)
+	assert.Empty(t, check.Evaluate(l))
+}
+
 func TestValidLog(t *testing.T) {
 	assert.Empty(t, check.Evaluate(validLog()))
 }
@@ -82,6 +107,29 @@
 		{check.Asked, func(l *check.Log) { l.Visits[0].Body = 7 }},
 		{check.Allowed, func(l *check.Log) { l.Visits[0].Service = "s2" }},
 		{check.Home, func(l *check.Log) { l.Visits[2].Zone = "c" }},
+		{check.Home, func(l *check.Log) {
+			l.TeamHomes = map[string][]string{"near": {"b"}}
+			addKeyed(l, "near-key", "near", 5, 200)
+		}},
+		{check.TeamNamed, func(l *check.Log) { l.Visits[0].KeyPassed = true }},
+		{check.TeamNamed, func(l *check.Log) { l.Visits[0].Team = "boss" }},
+		{check.TeamNamed, func(l *check.Log) {
+			addKeyed(l, "steady", "office", 5, 200)
+			l.Visits[len(l.Visits)-1].Team = ""
+		}},
+		{check.TeamNamed, func(l *check.Log) {
+			l.Open = map[string]bool{"idem": true}
+			addKeyed(l, "steady", "office", 5, 200)
+		}},
+		{check.KnownKey, func(l *check.Log) { addKeyed(l, "unknown", "", 5, 200) }},
+		{check.KnownKey, func(l *check.Log) { addKeyed(l, "steady", "office", 5, 401) }},
+		{check.KeyInForce, func(l *check.Log) { addKeyed(l, "key-9", "office", 14, 401) }},
+		{check.KeyInForce, func(l *check.Log) { addKeyed(l, "key-5", "office", 14, 200) }},
+		{check.NeverBack, func(l *check.Log) {
+			l.Disruptions = append(l.Disruptions, check.Disruption{Instance: "one", From: at(15), Until: at(19), Cause: "freeze"})
+			addKeyed(l, "key-5", "office", 16, 401)
+			addKeyed(l, "key-5", "office", 17, 200)
+		}},
 		{check.Drained, func(l *check.Log) { addCall(l, "w2", "a", 13) }},
 		{check.Evacuated, func(l *check.Log) { addCall(l, "w1", "b", 18) }},
 		{check.StaysAway, func(l *check.Log) {
--- a/soak/check/request.go
+++ b/soak/check/request.go
@@ -113,6 +113,9 @@
 		if restricted && !v.Misdirected && !slices.Contains(zones, v.Zone) {
 			c.report(v.At, v.RequestID, "reached zone "+v.Zone)
 		}
+		if zones, restricted = c.TeamHomes[c.teamOf(v)]; restricted && !v.Misdirected && !slices.Contains(zones, v.Zone) {
+			c.report(v.At, v.RequestID, "reached zone "+v.Zone+", which is no home of its team")
+		}
 	}
 }
 
--- a/soak/play/caller.go
+++ b/soak/play/caller.go
@@ -75,6 +75,8 @@
 	// returns the path to use instead of the route's.
 	fixed *instance
 	path  func() string
+	// key, if set, returns the key of the next request instead of the steady one.
+	key func() teamKey
 
 	count      int
 	resolved   []string
@@ -223,6 +225,12 @@
 	call.Body = xxhash.Sum64(body)
 	object := strings.Split(path, "/")[2]
 	standin.WriteHead(out, call.Method, path, _host, call.ID, object, c.route.timeout)
+	key := _steadyKey
+	if c.key != nil {
+		key = c.key()
+	}
+	call.Key, call.Team, call.UnknownKey = key.key, key.team, key.team == ""
+	standin.WriteKey(out, key.key, _claimedTeam)
 	switch {
 	case len(body) == 0:
 		out.WriteString("\r\n")
--- a/soak/play/event.go
+++ b/soak/play/event.go
@@ -182,9 +182,9 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.version++
-		a := check.Ack{Kind: check.AckConfig, Version: r.version, Added: markPath(r.version)}
+		a := check.Ack{Kind: check.AckConfig, Version: r.version, Added: markPath(r.version), AddedKey: turningKey(r.version)}
 		if r.version > _keptVersions {
-			a.Removed = markPath(r.version - _keptVersions)
+			a.Removed, a.RemovedKey = markPath(r.version-_keptVersions), turningKey(r.version-_keptVersions)
 		}
 		r.writeConfiguration()
 		a.At = time.Now()
@@ -194,7 +194,7 @@
 
 // writeConfiguration writes the current version. The caller holds mu.
 func (r *run) writeConfiguration() {
-	r.kv.Configure(uint32(r.version*_versionStep), routesOf(r.version), _services, _coldRate)
+	r.kv.Configure(uint32(r.version*_versionStep), routesOf(r.version), _services, _coldRate, teamsOf(r.version)...)
 }
 
 // routesOf returns the routes of a configuration version.
@@ -214,7 +214,7 @@
 		newRoute("move", "idempotent", _services[version%len(_services)], 3),
 		newRoute("split", "non_idempotent", "", 2),
 	}
-	routes[1].Timeout = 2 * _routeTimeout
+	routes[1].Timeout, routes[1].Open = 2*_routeTimeout, true
 	routes[len(routes)-1].Split = map[string]int{"s1": 1, "s2": 3}
 	for v := max(version-_keptVersions+1, 1); v <= version; v++ {
 		routes = append(routes, newRoute(fmt.Sprintf("mark-%d", v), "idempotent", "s1", 2))
--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -144,7 +144,10 @@
 // violation. It returns an error if an instance cannot be started.
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{Options: o, kv: standin.NewKV(), client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
-	r.log = check.Log{Limits: check.PlatformLimits(), SkipTimed: o.SkipTimed, Services: services(), Homes: map[string][]string{"home": {"a", "b"}}}
+	r.log = check.Log{
+		Limits: check.PlatformLimits(), SkipTimed: o.SkipTimed, Services: services(), Homes: map[string][]string{"home": {"a", "b"}},
+		Open: map[string]bool{"slow": true}, TeamHomes: map[string][]string{_nearKey.team: {"a", "b"}},
+	}
 	r.closed = make(map[string]int)
 	r.storeServes = make(chan struct{})
 	close(r.storeServes)
@@ -452,6 +455,13 @@
 		probe := route{method: http.MethodGet, repeatable: true, timeout: timeout}
 		add(&caller{route: probe, connMode: _modePool, pause: _probePause, fixed: i, path: r.probe})
 	}
+	near := func() teamKey { return _nearKey }
+	for range 3 {
+		add(&caller{route: idem, connMode: _modePool, pause: _callerPause, key: near})
+	}
+	for _, i := range r.instances {
+		add(&caller{route: idem, connMode: _modePipeline, pause: _probePause, fixed: i, key: r.turningKey})
+	}
 	return list
 }
 
--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -62,6 +62,7 @@
 	_placement      = "placement/placement.go"
 	_placementState = "placement/state.go"
 	_gateway        = "gateway/gateway.go"
+	_team           = "forward/team.go"
 	_order          = "platform/order.go"
 )
 
@@ -173,6 +174,46 @@
 			[]Edit{{_placement, "|| !r.MayServe(region) {", "{"}},
 			nil,
 		},
+		{
+			"homes of teams are ignored", check.Home,
+			[]Edit{{_team, " && (rs.team == nil || rs.team.MayServe(region))", ""}},
+			nil,
+		},
+		{
+			"keys are passed on", check.TeamNamed,
+			[]Edit{{"frontend/conn.go", " || name == n.Key || name == n.Team", " || name == n.Team"}},
+			nil,
+		},
+		{
+			"callers name their team", check.TeamNamed,
+			[]Edit{{"frontend/conn.go", " || name == n.Key || name == n.Team", " || name == n.Key"}},
+			nil,
+		},
+		{
+			"callers on open routes belong to a team", check.TeamNamed,
+			[]Edit{{_team, "if rs.teams == nil || rs.route.Open {", "if rs.teams == nil {"}},
+			nil,
+		},
+		{
+			"unknown keys are admitted", check.KnownKey,
+			[]Edit{{_team, "if t == nil {\n\t\treturn s.refuseKey(rs)", "if t == nil {\n\t\treturn nil"}},
+			nil,
+		},
+		{
+			"known keys are refused now and then", check.KnownKey,
+			[]Edit{{_team, "if t == nil {\n\t\treturn s.refuseKey(rs)", "if t == nil || time.Now().UnixNano()%50 == 0 {\n\t\treturn s.refuseKey(rs)"}},
+			nil,
+		},
+		{
+			"removed keys are admitted", check.KeyInForce,
+			[]Edit{{"team/roster.go", "return r.byKey[fingerprintOf(key)]", "if t := r.byKey[fingerprintOf(key)]; t != nil {\n\t\treturn t\n\t}\n\treturn r.Withdrawn(key)"}},
+			[]fault.Event{at(1, fault.Configure, 0), at(1.2, fault.Configure, 0)},
+		},
+		{
+			"added keys are refused", check.KeyInForce,
+			[]Edit{{_gateway, "c.Teams = c.Teams.After(st.Catalog.Teams)", "c.Teams = st.Catalog.Teams"}},
+			[]fault.Event{at(1, fault.Configure, 0)},
+		},
 		{
 			"new configurations are ignored", check.InForce,
 			[]Edit{{_gateway, "if st.Catalog == nil || c.Version > st.Catalog.Version {", "if st.Catalog == nil {"}},
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -73,6 +73,9 @@
 	// fault injected into the answer, or empty.
 	Misdirected bool
 	Fault       string
+	// Team is the team that the request names, and KeyPassed is set if it has a key.
+	Team      string
+	KeyPassed bool
 }
 
 // Backend is a stand-in for a worker of the users' platform. The exported fields
@@ -294,6 +297,7 @@
 		RequestID: id, Method: r.Method, Path: r.URL.Path, Body: body, Born: b.started.UnixMilli(),
 		Worker: b.ID, Service: b.Service, Zone: b.Zone, At: time.Now(),
 		Cold: time.Now().After(b.coldFrom) && time.Now().Before(b.coldUntil), Misdirected: expect != "" && expect != b.ID, ServiceTime: b.ServiceTime(r.URL.Path),
+		Team: strings.Join(r.Header.Values("X-Tenant"), ","), KeyPassed: len(r.Header.Values("X-Key")) > 0,
 	}
 	const buckets = 1 << 20
 	if b.faultShare > 0 && float64(xxhash.Sum64String(id+b.fault)%buckets) < b.faultShare*buckets {
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -28,18 +28,27 @@
 	Homes       []string
 	// Split is the weight of each service, used if Service is empty.
 	Split map[string]int
+	// Open is set if callers need no key.
+	Open bool
+}
+
+// Team is a team in the configuration: what the users' platform calls a tenant.
+type Team struct {
+	Name  string
+	Keys  []string
+	Homes []string
 }
 
 // Configure writes a configuration as the operator does. coldRate is the number of
-// requests that a cold worker can handle in a second.
-func (kv *KV) Configure(version uint32, routes []Route, services []string, coldRate int) {
+// requests that a cold worker can handle in a second. Without teams, callers need no keys.
+func (kv *KV) Configure(version uint32, routes []Route, services []string, coldRate int, teams ...Team) {
 	type table struct {
 		Columns []string `json:"columns"`
 		Rows    [][]any  `json:"rows"`
 	}
 	routeTable := table{Columns: []string{
 		"name", "host", "prefix", "route_kind", "timeout_ms", "target_latency_ms", "priority", "service", "max_attempts",
-		"sticky", "home_regions", "traffic_split",
+		"sticky", "home_regions", "traffic_split", "public",
 	}}
 	for _, r := range routes {
 		var service, split any
@@ -54,7 +63,7 @@
 		}
 		routeTable.Rows = append(routeTable.Rows, []any{
 			r.Name, r.Host, "/" + r.Name + "/", r.Kind, r.Timeout.Milliseconds(), r.Objective.Milliseconds(), 1, service,
-			r.MaxAttempts, true, append([]string{}, r.Homes...), split,
+			r.MaxAttempts, true, append([]string{}, r.Homes...), split, r.Open,
 		})
 	}
 	const (
@@ -69,13 +78,21 @@
 	for _, name := range services {
 		serviceTable.Rows = append(serviceTable.Rows, []any{name, "/health", connections, "h1", false, coldSeconds, coldRate})
 	}
-	config, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"version": fmt.Sprintf("%08x", version), "routes": routeTable, "services": serviceTable,
 		"limits": map[string]int{
 			"max_header_bytes": headerBytes, "max_body_bytes": bodyBytes, "header_timeout_ms": headerMillis,
 			"idle_timeout_ms": idleMillis,
 		},
-	})
+	}
+	if len(teams) > 0 {
+		teamTable := table{Columns: []string{"name", "api_keys", "home_regions"}}
+		for _, t := range teams {
+			teamTable.Rows = append(teamTable.Rows, []any{t.Name, t.Keys, append([]string{}, t.Homes...)})
+		}
+		fields["tenants"] = teamTable
+	}
+	config, err := json.Marshal(fields)
 	if err != nil {
 		panic("configuration cannot be encoded: " + err.Error())
 	}
@@ -119,3 +136,9 @@
 	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Affinity-Key: %s\r\nX-Deadline-Ms: %s\r\n",
 		method, path, host, id, object, strconv.FormatInt(limit.Milliseconds(), 10))
 }
+
+// WriteKey writes the header with the key of a caller's team, and one in which the caller names
+// a team itself.
+func WriteKey(w io.Writer, key, claimed string) {
+	_, _ = fmt.Fprintf(w, "X-Key: %s\r\nX-Tenant: %s\r\n", key, claimed)
+}
