--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,6 +137,14 @@
 	// Memory is what the process may hold for callers, nil if that has no limit.
 	Memory *bytebudget.Budget
 
+	// Probe, if set, asks a worker at its health path how long it stays cold, while the store
+	// does not tell. ProbeRank returns the place of this instance among those of the region
+	// that may ask a worker, and TellCold passes the answer on to them. ReadAt is
+	// set if Probe is. They must not block.
+	Probe     func(ctx context.Context, t exchange.Target, path string) (time.Duration, error)
+	ProbeRank func(id string) int
+	TellCold  func(news worker.Cold)
+
 	// regions is the number of regions.
 	regions int
 	usage   team.Usage
@@ -150,6 +158,9 @@
 	answers map[string]*answers
 	checks  map[incarnation]*workerCheck
 	tells   limit.Bucket
+	probes  map[string]*probe
+	// oldUntil is until when the entries of workers do not tell whether they are cold.
+	oldUntil time.Time
 }
 
 // Prepare initializes the service. It must be called before any other method.
@@ -176,6 +187,7 @@
 	s.budgets = make(map[string]*retry.SharedBudget)
 	s.checks = make(map[incarnation]*workerCheck)
 	s.answers = make(map[string]*answers)
+	s.probes = make(map[string]*probe)
 	if s.Suspects == nil {
 		s.Suspects = &suspect.Book{Tries: func(suspect.Content) bool { return true }}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// _expectedShare is the fraction of the stop timeout by which a request must be expected
 	// to be answered to be accepted.
 	_expectedShare = 0.9
+	// _probeTick is how often the ages of the entries of workers are checked.
+	_probeTick = 50 * time.Millisecond
 	// _controlDescriptors is the number of descriptors that are kept for files, the store,
 	// other instances and look-ups; of the rest, callers and workers get a share each.
 	_controlDescriptors = 300
@@ -127,6 +129,7 @@
 	g.forward = &forward.Service{
 		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Loaded: g.movefeed.TellLoad, Succeeded: g.movefeed.TellSuccession, Left: g.permitfeed.TellLeaving,
 		Memory: g.memory, Permits: permits, Rations: g.rations, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
+		Probe: g.pool.Probe, ProbeRank: g.probeRank, TellCold: g.permitfeed.TellCold,
 	}
 	g.permitfeed.Fleet = g.fleet
 	g.permitfeed.Workers = g.forward
@@ -214,6 +217,9 @@
 	k.Go("follow", g.watcher.Run)
 	k.Go("presence", g.registration.run)
 	k.Go("sweep", func(ctx context.Context) error { return kernel.Every(ctx, _sweepInterval, g.sweep) })
+	k.Go("probes", func(ctx context.Context) error {
+		return kernel.Every(ctx, _probeTick, func(now time.Time) { g.forward.ProbeCold(ctx, now) })
+	})
 	serve(k, listeners[2], g.readiness())
 	serve(k, listeners[3], g.resolver())
 	if address := g.Settings.Admin.Listen; address != "" {
