--- a/cmd/wigeonlock/main.go
+++ b/cmd/wigeonlock/main.go
@@ -76,7 +76,7 @@
 		Action:         noCommand,
 		Commands: []*cli.Command{
 			serveCommand(), entryCommand(), explainCommand(), settingsCommand(), listsCommand(), statusCommand(), standinCommand(),
-			demoCommand(), measureCommand(), versionCommand(),
+			demoCommand(), configCommand(), measureCommand(), versionCommand(),
 		},
 	}
 	onUsageError(root)
