--- a/draft/compare.go
+++ b/draft/compare.go
@@ -117,9 +117,18 @@
 	var entries []entry
 	for _, r := range d.Routes {
 		entries = append(entries, entry{RouteChange, strings.ToLower(r.Host) + r.Prefix, r.Name, []field{
-			{"name", r.Name}, {"host", strings.ToLower(r.Host)}, {"prefix", r.Prefix}, {"kind", string(r.Kind)}, {"services", shares(r.Shares)},
-			{"timeout", r.Timeout.String()}, {"objective", r.Objective.String()}, {"attempts", fmt.Sprint(r.Attempts)},
-			{"rank", fmt.Sprint(r.Priority)}, {"sticky", fmt.Sprint(r.Sticky)}, {"homes", set(r.Homes)}, {"open", fmt.Sprint(r.Open)},
+			{"name", r.Name},
+			{"host", strings.ToLower(r.Host)},
+			{"prefix", r.Prefix},
+			{"kind", string(r.Kind)},
+			{"services", shares(r.Shares)},
+			{"timeout", r.Timeout.String()},
+			{"objective", r.Objective.String()},
+			{"attempts", fmt.Sprint(r.Attempts)},
+			{"rank", fmt.Sprint(r.Priority)},
+			{"sticky", fmt.Sprint(r.Sticky)},
+			{"homes", set(r.Homes)},
+			{"open", fmt.Sprint(r.Open)},
 		}})
 	}
 	for _, s := range d.Services {
@@ -141,8 +150,10 @@
 		}})
 	}
 	return append(entries, entry{LimitsChange, "", "", []field{
-		{"header bytes", fmt.Sprint(d.Limits.HeaderBytes)}, {"body bytes", fmt.Sprint(d.Limits.BodyBytes)},
-		{"header time", d.Limits.HeaderTime.String()}, {"idle time", d.Limits.IdleTime.String()},
+		{"header bytes", fmt.Sprint(d.Limits.HeaderBytes)},
+		{"body bytes", fmt.Sprint(d.Limits.BodyBytes)},
+		{"header time", d.Limits.HeaderTime.String()},
+		{"idle time", d.Limits.IdleTime.String()},
 	}})
 }
 
--- a/draft/draft.go
+++ b/draft/draft.go
@@ -208,8 +208,10 @@
 		name  string
 		value int64
 	}{
-		{"header bytes", int64(d.Limits.HeaderBytes)}, {"body bytes", int64(d.Limits.BodyBytes)},
-		{"header time", int64(d.Limits.HeaderTime)}, {"idle time", int64(d.Limits.IdleTime)},
+		{"header bytes", int64(d.Limits.HeaderBytes)},
+		{"body bytes", int64(d.Limits.BodyBytes)},
+		{"header time", int64(d.Limits.HeaderTime)},
+		{"idle time", int64(d.Limits.IdleTime)},
 	}
 	for _, l := range limits {
 		if l.value <= 0 {
