Memory: margin for the end of the process in a planned stop, budget in the start line

At a load average of 37 one of three stopped processes was killed after the grace, with the wait for answers until 0.96 of it (no answer was lost); it is 0.94 now. relay.Buffer reads answers with a hook into memory as before, so that serve frees a slot when it did.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,7 +57,7 @@
 	_maxDrainTime = 2800 * time.Millisecond
 	// _stopShare is the fraction of the stop timeout after which the instance no
 	// longer waits for answers to be written; the rest is for the end of the process.
-	_stopShare = 0.96
+	_stopShare = 0.94
 	// _expectedShare is the fraction of the stop timeout by which a request must be expected
 	// to be answered to be accepted.
 	_expectedShare = 0.9
@@ -171,7 +171,9 @@
 	k := &kernel.Kernel{
 		Services:    []kernel.Service{&runner{gateway: g}},
 		StopTimeout: g.Settings.Stop(),
-		Ready:       func() { g.Log.Info("instance started", zap.String("callers", g.Settings.Callers.Listen)) },
+		Ready: func() {
+			g.Log.Info("instance started", zap.String("callers", g.Settings.Callers.Listen), zap.Int64("memoryBudget", g.memory.Limit()))
+		},
 	}
 	return k.Run(ctx)
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -44,7 +44,8 @@
 // closes the worker's answer, which frees its slot. A truncated answer becomes
 // one with an unknown outcome. A larger answer continues to stream.
 func Buffer(a *Answer) *Answer {
-	if _, buffered := Bytes(a); buffered || a.Body == nil || a.Length > BufferBytes {
+	// A hook is called once the answer is in memory, not when the caller has it.
+	if _, buffered := a.Body.(*memoryBody); buffered || a.Body == nil || a.Length > BufferBytes {
 		return a
 	}
 	limit := int64(BufferBytes)
