Order of the workers for an object, kept between changes of the workers

Cause: each decision hashed, scored and sorted all workers of the service and looked up their states by ID twice. The choices are the same.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -27,7 +27,6 @@
 import (
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -214,6 +213,8 @@
 
 	known       map[string]*state
 	localShares map[shareKey]*localShare
+	rosters     map[string]*roster
+	usable      []bool
 	ranking     []ranked
 	warm        warmObjects
 	places      map[string]*places
@@ -223,7 +224,7 @@
 
 type ranked struct {
 	w     *worker.Worker
-	score float64
+	s     *state
 	local bool
 	// rank is the position among all workers that may serve the request.
 	rank int
@@ -293,7 +294,7 @@
 	restsUntil := p.firstRestEnd(now)
 	p.ranking = slices.DeleteFunc(p.ranking, func(candidate ranked) bool {
 		w := candidate.w
-		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, p.state(w.ID), object) ||
+		return slices.Contains(r.Tried, w.ID) || slices.Contains(refused, w.ID) || p.avoided(now, w, candidate.s, object) ||
 			len(refused) > 0 && r.share(w) < 1 && !p.warm.contains(now, object, w.ID)
 	})
 	if len(p.ranking) == 0 && !restsUntil.IsZero() {
@@ -417,30 +418,30 @@
 // rank sorts the workers that may serve a request, best first. Local objects rank
 // the workers of the local region before the others, other objects after them.
 func (p *Placer) rank(now time.Time, r Request, object uint64, workers []*worker.Worker) {
-	p.ranking = p.ranking[:0]
+	known := p.rosterOf(r.Service, workers)
+	p.usable = p.usable[:0]
 	localSlots, allSlots := 0, 0
-	for _, w := range workers {
-		region := p.RegionOf(w.Zone)
-		if !w.Usable(now) || r.Closed(w.Zone) || !r.MayServe(region) {
+	for i := range known.members {
+		m := &known.members[i]
+		usable := m.w.Usable(now) && !r.Closed(m.zone) && r.MayServe(m.region)
+		p.usable = append(p.usable, usable)
+		if !usable {
 			continue
 		}
-		local := region == p.Region
-		allSlots += w.Slots
-		if local {
-			localSlots += w.Slots
+		allSlots += m.slots
+		if m.region == p.Region {
+			localSlots += m.slots
 		}
-		p.ranking = append(p.ranking, ranked{w, score(object, w.ID, float64(max(w.Slots, 1))), local, 0})
 	}
 	isLocal := unit(mix(object)) < p.updateLocalShare(now, r, localSlots, allSlots, workers)
-	sort.Slice(p.ranking, func(i, j int) bool {
-		a, b := p.ranking[i], p.ranking[j]
-		if a.local != b.local {
-			return a.local == isLocal
+	order := known.order(object, r.Sticky)
+	p.ranking = p.ranking[:0]
+	for _, local := range []bool{isLocal, !isLocal} {
+		for _, i := range order {
+			if m := &known.members[i]; p.usable[i] && (m.region == p.Region) == local {
+				p.ranking = append(p.ranking, ranked{m.w, m.s, local, len(p.ranking)})
+			}
 		}
-		return a.score > b.score
-	})
-	for i := range p.ranking {
-		p.ranking[i].rank = i
 	}
 }
 
@@ -473,11 +474,6 @@
 	return share >= 1 || unit(mix(^object^xxhash.Sum64String(w.ID))) < share
 }
 
-// score returns the weighted rendezvous score of a worker for an object.
-func score(object uint64, id string, weight float64) float64 {
-	return -weight / math.Log(unit(mix(object^xxhash.Sum64String(id))))
-}
-
 // unit maps a hash to (0, 1).
 func unit(h uint64) float64 {
 	return (float64(h>>11) + 0.5) / (1 << 53)
--- a/placement/rest.go
+++ b/placement/rest.go
@@ -63,8 +63,8 @@
 func (p *Placer) firstRestEnd(now time.Time) time.Time {
 	var first time.Time
 	for _, candidate := range p.ranking {
-		s := p.known[candidate.w.ID]
-		if s == nil || !s.rest.isOf(candidate.w) || now.Sub(s.rest.until) >= ResumeTime {
+		s := candidate.s
+		if s.rest.until.IsZero() || !s.rest.isOf(candidate.w) || now.Sub(s.rest.until) >= ResumeTime {
 			continue
 		}
 		if first.IsZero() || s.rest.until.Before(first) {
--- a/placement/state.go
+++ b/placement/state.go
@@ -277,6 +277,7 @@
 	for id, s := range p.known {
 		if s.inFlight == 0 && !now.Before(s.rest.until) && removed(id) {
 			delete(p.known, id)
+			clear(p.rosters)
 		}
 	}
 }
