--- a/placement/order.go
+++ b/placement/order.go
@@ -16,7 +16,7 @@
 // Score returns the rank of the candidate for an object; the highest is first. The shares of
 // candidates follow their sizes.
 func (c Candidate) Score(object uint64) float64 {
-	return score(object, c.Seat, float64(max(c.Size, 1)))
+	return score(object, xxhash.Sum64String(c.Seat), float64(max(c.Size, 1)))
 }
 
 // Order finds the candidate that ranks highest for an object. It is immutable.
--- a/seat/seat.go
+++ b/seat/seat.go
@@ -63,6 +63,8 @@
 	owners map[string]string
 	groups map[string]*group
 	left   map[string]departure
+	// version counts the changes of seats.
+	version uint64
 }
 
 // departure is a worker that left, with the seat that it had.
@@ -95,6 +97,11 @@
 	return worker
 }
 
+// Version changes when the seat of any worker changes.
+func (b *Book) Version() uint64 {
+	return b.version
+}
+
 // Started records a worker that takes requests from now on. fresh is set if it has just started,
 // so that no object is warm there: only such a worker takes the seat of another one. One that
 // had left gets its own seat again, unless that was taken meanwhile.
@@ -221,6 +228,7 @@
 // worker and each seat is in one pair only. It depends on the claims alone, not on the order in
 // which an instance heard of them.
 func (b *Book) resolve() {
+	b.version++
 	ordered := slices.SortedFunc(maps.Keys(b.claims), func(x, y Succession) int {
 		return cmp.Or(cmp.Compare(b.claims[y], b.claims[x]), cmp.Compare(x.Worker, y.Worker), cmp.Compare(x.Seat, y.Seat))
 	})
