frontend: a caller that leaves behind a full pipeline is noticed

What callers saw: with 32 requests of a connection under way nothing was read, so that its end stayed unnoticed; further requests that had arrived were passed on to workers for a caller that was gone (GONE).

Cause: serve waits for a slot without looking at the connection. Its end stands behind bytes that are not read.

Change: while it waits, the connection is polled every 100 ms for the hang-up, which needs no reading. Then the requests are cancelled, and those that were read afterwards are not handled.

Evidence: TestDisconnectIsNoticedBehindAFullPipeline (60 requests, then the end) fails before and passes after, under the race detector as well.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -391,7 +391,7 @@
 	_requests.Inc()
 	done := make(chan struct{})
 	c.pending.Add(1)
-	c.slots <- struct{}{}
+	c.takeSlot()
 	go func() {
 		defer func() {
 			c.idleSince.Store(time.Now().UnixNano())
@@ -417,6 +417,9 @@
 // its connection that the request was not read. A panic of the handler becomes an answer
 // that promises nothing.
 func (c *conn) handle(r *relay.Request, previous <-chan struct{}) (answer *relay.Answer) {
+	if c.ctx.Err() != nil {
+		return nil
+	}
 	if c.refused {
 		return c.refuse()
 	}
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -429,3 +429,27 @@
 	}
 	assert.LessOrEqual(t, h.maxRunning, 33)
 }
+
+// TestDisconnectIsNoticedBehindAFullPipeline has a caller send more requests than are served at a
+// time, and leave: all that run are cancelled, and the others are not passed on.
+func TestDisconnectIsNoticedBehindAFullPipeline(t *testing.T) {
+	never := make(chan struct{})
+	h := &handler{release: map[string]chan struct{}{}}
+	var requests strings.Builder
+	const n, most = 60, 32
+	for i := range n {
+		path := fmt.Sprint("/", i)
+		h.release[path] = never
+		requests.WriteString(get(path))
+	}
+	_, address := start(t, h, _limits)
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, requests.String())
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { started, _ := h.requests(); return len(started) == most }, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { _, cancelled := h.requests(); return len(cancelled) == most }, 2*time.Second, time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	started, _ := h.requests()
+	assert.Len(t, started, most)
+}
