forward: a spoiled entry does not end a worker's limit

What callers saw: a worker whose entry another writer spoiled for a moment was forgotten with its limit, and got more than that until its next answer (LIMIT).

Change: the limit is kept for 10 s without an entry; a worker that runs has written the next one by then. An incarnation that another replaced ends at once as before.

Evidence: TestLimitOutlivesASpoiledEntry fails with a time of 0 and passes now.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -139,6 +139,8 @@
 	checks  map[incarnation]*workerCheck
 	tells   limit.Bucket
 	probes  map[string]*probe
+	// goneAt is since when workers with a limit have no entry.
+	goneAt map[string]time.Time
 	// oldUntil is until when the entries of workers do not tell whether they are cold.
 	oldUntil time.Time
 }
@@ -166,6 +168,7 @@
 	s.budgets = make(map[string]*retry.SharedBudget)
 	s.checks = make(map[incarnation]*workerCheck)
 	s.probes = make(map[string]*probe)
+	s.goneAt = make(map[string]time.Time)
 	if s.Suspects == nil {
 		s.Suspects = &suspect.Book{Tries: func(suspect.Content) bool { return true }}
 	}
@@ -215,7 +218,7 @@
 	s.state.Workers.Sweep(now)
 	s.placer.Forget(now, func(id string) bool { return s.state.Workers.Get(id) == nil })
 	s.pacer.Forget(now)
-	s.Permits.Sweep(now, s.hasEnded)
+	s.Permits.Sweep(now, func(w permit.Worker) bool { return s.hasEnded(now, w) })
 	s.Suspects.Sweep(now)
 }
 
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -20,6 +20,10 @@
 	// _maxPermitWaits for how many.
 	_permitTimeout  = 250 * time.Millisecond
 	_maxPermitWaits = 2
+	// _goneTime is the time for which the limit of a worker without an entry is kept: the
+	// entry of one that runs comes back with its next heartbeat, if the store lost it or
+	// another writer spoiled it.
+	_goneTime = 10 * time.Second
 )
 
 var (
@@ -28,10 +32,23 @@
 	_limitedSends = metrics.NewCounter("wigeonlock_limited_sends_total")
 )
 
-// hasEnded reports whether an incarnation of a worker has ended. The caller holds s.mu.
-func (s *Service) hasEnded(limited permit.Worker) bool {
-	w := s.state.Workers.Get(limited.ID)
-	return w == nil || w.Born > limited.Born
+// hasEnded reports whether an incarnation of a worker with a limit has ended. The caller holds
+// s.mu.
+func (s *Service) hasEnded(now time.Time, limited permit.Worker) bool {
+	if w := s.state.Workers.Get(limited.ID); w != nil {
+		delete(s.goneAt, limited.ID)
+		return w.Born > limited.Born
+	}
+	at, gone := s.goneAt[limited.ID]
+	if !gone {
+		s.goneAt[limited.ID] = now
+		return false
+	}
+	if now.Sub(at) < _goneTime {
+		return false
+	}
+	delete(s.goneAt, limited.ID)
+	return true
 }
 
 func limitedWorker(w *worker.Worker) permit.Worker {
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/forward"
 	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/worker"
 )
 
 // TestLimitsAreLogged has a worker name a limit, change it and take it back: the log and
@@ -104,3 +105,28 @@
 	assert.NotEmpty(t, e.sent)
 	assert.LessOrEqual(t, len(e.sent), 5)
 }
+
+// TestLimitOutlivesASpoiledEntry has the entry of a worker with a limit be spoiled and written
+// again by the worker: its limit holds. It ends with the worker.
+func TestLimitOutlivesASpoiledEntry(t *testing.T) {
+	named := ran(200)
+	perSecond := 3.0
+	named.Limit = &perSecond
+	s := newService(t, &exchanger{results: []exchange.Result{named}}, 1)
+	s.Handle(t.Context(), request("/read/x"))
+	require.Len(t, s.Permits.Limits(), 1)
+	now := time.Now()
+	s.Update(func(st *forward.State) { st.Workers.Delete("i-0", 2) })
+	s.Sweep(now)
+	s.Sweep(now.Add(time.Second))
+	assert.Len(t, s.Permits.Limits(), 1)
+	s.Update(func(st *forward.State) {
+		st.Workers.Put(now, worker.Entry{ID: "i-0", Service: "s", Address: "10.0.0.0:80", Zone: "a", Slots: 4, Born: 1, Heartbeat: 2}, 3)
+	})
+	s.Sweep(now.Add(20 * time.Second))
+	assert.Len(t, s.Permits.Limits(), 1)
+	s.Update(func(st *forward.State) { st.Workers.Delete("i-0", 4) })
+	s.Sweep(now.Add(21 * time.Second))
+	s.Sweep(now.Add(32 * time.Second))
+	assert.Empty(t, s.Permits.Limits())
+}
