soak: each run has addresses of its own, and closing twice does no harm

A run claims its subnet by listening on an address of it, and takes the next one if another process has it. Links close without having listened, and twice.

--- a/soak/link/datagram.go
+++ b/soak/link/datagram.go
@@ -50,6 +50,9 @@
 
 // Close stops the relay.
 func (d *Datagrams) Close() {
+	if d.conn == nil {
+		return
+	}
 	_ = d.conn.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/link/link.go
+++ b/soak/link/link.go
@@ -131,9 +131,15 @@
 	}
 }
 
-// Close stops the link and resets its connections.
+// Close stops the link and resets its connections. It may be called again, and if Listen
+// failed.
 func (l *Link) Close() {
 	l.mu.Lock()
+	if l.closed || l.listener == nil {
+		l.closed = true
+		l.mu.Unlock()
+		return
+	}
 	l.closed = true
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/soak/link/link_test.go
+++ b/soak/link/link_test.go
@@ -119,3 +119,14 @@
 	_, err = read(c, 10*time.Second)
 	require.Error(t, err)
 }
+
+// TestCloseWithoutListening closes a link whose address another one has, and one twice.
+func TestCloseWithoutListening(t *testing.T) {
+	l := startLink(t)
+	second := &link.Link{}
+	require.Error(t, second.Listen(l.Address()))
+	second.Close()
+	l.Close()
+	l.Close()
+	(&link.Datagrams{}).Close()
+}
--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -92,7 +92,8 @@
 	Length time.Duration
 	// Events is the fault schedule.
 	Events []fault.Event
-	// Subnet separates the loopback addresses of concurrent runs, 0 to 200.
+	// Subnet separates the loopback addresses of concurrent runs, 0 to 200. If another process
+	// uses it, Run takes the next one that is free.
 	Subnet int
 	// SkipTimed skips the invariants with a time limit.
 	SkipTimed bool
@@ -149,15 +150,20 @@
 	r.storeServes = make(chan struct{})
 	close(r.storeServes)
 	r.kv.SetPageSize(_storePageSize)
+	claimed, err := claimSubnet(o.Subnet)
+	if err != nil {
+		return Result{}, err
+	}
+	r.Subnet = claimed.subnet
+	defer claimed.release()
 	defer r.close()
 	if err := r.start(); err != nil {
 		return Result{}, err
 	}
 	r.play(ctx)
 	r.mu.Lock()
-	err := r.err
-	r.mu.Unlock()
-	return r.result(), err
+	defer r.mu.Unlock()
+	return r.result(), r.err
 }
 
 // get sends a GET request to a process.
