--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -360,7 +360,7 @@
 	_requests.Inc()
 	done := make(chan struct{})
 	c.pending.Add(1)
-	c.slots <- struct{}{}
+	c.takeSlot()
 	go func() {
 		defer func() {
 			c.idleSince.Store(time.Now().UnixNano())
@@ -394,6 +394,9 @@
 func (c *conn) handle(r *relay.Request, previous <-chan struct{}) (answer *relay.Answer) {
 	// Neither the worker nor a further attempt needs the body any more.
 	defer dropBody(r)
+	if c.ctx.Err() != nil {
+		return nil
+	}
 	if c.refused {
 		return c.refuse()
 	}
