Workers out of use are served as known while the store is away

Cause: since unknown counts as cold, each worker that the store does not tell of and nobody asks was held to the rate of cold ones for the whole of an outage: gateway.TestLifecycle got a refusal where the known state serves. Change: a worker counts as possibly cold only while it is in use and has not answered a probe.

--- a/forward/probes.go
+++ b/forward/probes.go
@@ -101,7 +101,16 @@
 		return
 	}
 	p := s.probes[w.ID]
-	w.ColdUnknown = now.Sub(w.HeardAt) >= _knownTime && (p == nil || now.Sub(p.since) >= _probeInterval)
+	if now.Sub(w.UsedAt) > _usedTime {
+		// Its first requests go there while it is asked: with the store away, workers are
+		// served from what is known.
+		w.ColdUnknown = false
+		if p != nil && !p.open {
+			delete(s.probes, w.ID)
+		}
+		return
+	}
+	w.ColdUnknown = now.Sub(w.HeardAt) >= _knownTime && p != nil && now.Sub(p.since) >= _probeInterval
 }
 
 // probeIsDue reports whether to ask a worker now. The caller holds s.mu.
