--- a/placement/placement.go
+++ b/placement/placement.go
@@ -423,13 +423,14 @@
 	localSlots, allSlots := 0, 0
 	for i := range known.members {
 		m := &known.members[i]
-		usable := m.w.Usable(now) && !r.Closed(m.zone) && r.MayServe(m.region)
-		p.usable = append(p.usable, usable)
-		if !usable {
+		w, region := m.w, m.region
+		if !w.Usable(now) || r.Closed(w.Zone) || !r.MayServe(region) {
+			p.usable = append(p.usable, false)
 			continue
 		}
+		p.usable = append(p.usable, true)
 		allSlots += m.slots
-		if m.region == p.Region {
+		if region == p.Region {
 			localSlots += m.slots
 		}
 	}
