--- a/gateway/rations.go
+++ b/gateway/rations.go
@@ -14,8 +14,8 @@
 	"github.com/wigeonlock/wigeonlock/ration"
 )
 
-// _maxTeamMetrics is the number of teams that have metrics of their own: those that send most.
-const _maxTeamMetrics = 20
+// _maxQuotaMetrics is the number of teams whose quotas have metrics of their own: those that send most.
+const _maxQuotaMetrics = 20
 
 // newRations returns the quotas of teams on this instance.
 func newRations(g *Gateway, s *Settings) *ration.Book {
@@ -86,8 +86,8 @@
 		return
 	}
 	metrics.WriteGaugeUint64(w, "wigeonlock_team_offices", uint64(g.rations.Offices(now)))
-	for _, use := range g.rations.Uses(_maxTeamMetrics) {
-		const requests = "wigeonlock_team_requests_total{team=%q,quota=%q}"
+	for _, use := range g.rations.Uses(_maxQuotaMetrics) {
+		const requests = "wigeonlock_team_quota_requests_total{team=%q,result=%q}"
 		metrics.WriteCounterUint64(w, fmt.Sprintf(requests, use.Team, "granted"), uint64(use.Granted))
 		metrics.WriteCounterUint64(w, fmt.Sprintf(requests, use.Team, "denied"), uint64(use.Denied))
 		if use.Team != "" {
--- a/ration/message.go
+++ b/ration/message.go
@@ -10,6 +10,8 @@
 	Reply  *Reply `json:"reply,omitempty"`
 	Claim  *Claim `json:"claim,omitempty"`
 	Ack    *Ack   `json:"ack,omitempty"`
+	// Holding tells that the sender still issues permits, though its registration ended.
+	Holding *Holding `json:"holding,omitempty"`
 	// Resigned is the incarnation of the sender, which does not issue permits any more.
 	Resigned int64 `json:"resigned,omitempty"`
 	// Probe asks an instance that was silent to answer with Present.
@@ -54,10 +56,16 @@
 	Replaced     bool  `json:"replaced,omitempty"`
 }
 
+// Holding names the zone and the incarnation of an instance.
+type Holding struct {
+	Zone    string `json:"zone"`
+	Started int64  `json:"started"`
+}
+
 // Valid reports whether a message that was received can be used.
 func (m Message) Valid() bool {
 	parts := 0
-	for _, set := range []bool{m.Ask != nil, m.Reply != nil, m.Claim != nil, m.Ack != nil, m.Resigned != 0, m.Probe, m.Present} {
+	for _, set := range []bool{m.Ask != nil, m.Reply != nil, m.Claim != nil, m.Ack != nil, m.Holding != nil, m.Resigned != 0, m.Probe, m.Present} {
 		if set {
 			parts++
 		}
@@ -90,6 +98,8 @@
 		return &answer
 	case m.Ack != nil:
 		b.receiveAck(from, *m.Ack)
+	case m.Holding != nil:
+		b.receiveHolding(now, from, *m.Holding)
 	case m.Resigned != 0:
 		b.receiveResigned(now, from, m.Resigned)
 	case m.Probe:
--- a/ration/model_test.go
+++ b/ration/model_test.go
@@ -273,7 +273,7 @@
 
 // members returns the registered instances.
 func (m *model) members() []Member {
-	if m.listed != nil && m.listedAt == m.now {
+	if m.listed != nil && m.listedAt.Equal(m.now) {
 		return m.listed
 	}
 	m.listed, m.listedAt = make([]Member, 0, len(m.keys)), m.now
@@ -288,11 +288,11 @@
 func (n *node) try(r *pendingRequest) {
 	m := n.model
 	t := n.book.Take(n.now(), r.limit, r.waits)
-	switch {
-	case t.Verdict == Granted:
+	switch t.Verdict {
+	case Granted:
 		m.ran[r.limit.Team] = append(m.ran[r.limit.Team], m.now)
 		m.grantedIn += m.now.Sub(r.since)
-	case t.Verdict == Pending:
+	case Pending:
 		n.pending = append(n.pending, &pendingRequest{r.limit, t.Answered, r.since, m.now.Add(t.Wait), r.waits + 1})
 	default:
 		m.denied[r.limit.Team] = append(m.denied[r.limit.Team], m.now)
--- a/ration/office.go
+++ b/ration/office.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -15,6 +13,9 @@
 	// _termMargin is the part of a term that an issuer leaves unused, for news on their way and
 	// clocks that do not run equally fast.
 	_termMargin = 500 * time.Millisecond
+	// _unknownTime is how long after the start of an instance others may issue whose registration
+	// ended before: they lapsed a lease time after they were renewed, or tell that they are there.
+	_unknownTime = 2500 * time.Millisecond
 	// _claimInterval is the time between two claims to the instances that have not answered.
 	_claimInterval = 250 * time.Millisecond
 	// _reclaimInterval is the time between two claims to those that answered, while others may
@@ -108,7 +109,7 @@
 	}
 	if b.order.byName == nil || !slices.Equal(v.Members, b.order.members) {
 		before := b.order.members
-		b.order.set(slices.Clone(v.Members))
+		b.order.set(slices.Clone(v.Members), b.Region)
 		for _, m := range before {
 			if _, listed := b.order.byName[m.Name]; !listed && m.Name != b.Self && o.leaving[m.Name] != m.Started {
 				o.gone[m.Name] = goneMember{m, now}
@@ -166,12 +167,12 @@
 // completeClaim completes the claim if all instances of the region answered that may have
 // issued before, or after a term, and asks those that did not. An office that was held until
 // now goes on. Otherwise nobody may still issue whose registration ended, as far as the others
-// know or this instance, after a term; and all accounts begin empty.
+// know or this instance, after _unknownTime; and all accounts begin empty.
 func (b *Book) completeClaim(now time.Time, v View) bool {
 	o := &b.office
 	missing, current := b.missingAcks(v)
 	held := o.held(now)
-	complete := current && len(missing) == 0 && (held || o.isClear() || now.Sub(o.watchedAt) >= _term)
+	complete := current && len(missing) == 0 && (held || o.isClear() || now.Sub(o.watchedAt) >= _unknownTime)
 	if complete || now.Sub(o.registeredAt) >= _term {
 		o.claimed = true
 		if !held {
@@ -186,7 +187,7 @@
 			clear(o.acks)
 		}
 		for _, m := range missing {
-			b.Send(m.Address, Message{Claim: &Claim{Started: v.Started, Registration: o.registration, Members: b.membersHash()}})
+			b.Send(m.Address, Message{Claim: &Claim{Started: v.Started, Registration: o.registration, Members: b.order.regionHash}})
 		}
 	}
 	return false
@@ -223,22 +224,37 @@
 	return missing, current
 }
 
+// tellHolding tells the registered instances of the region that this one, whose registration
+// ended, still issues permits: those that started since do not know.
+func (b *Book) tellHolding(now time.Time, v View) {
+	if !b.office.held(now) || b.listsSelf(v) {
+		return
+	}
+	for _, m := range b.order.members {
+		if m.Region == b.Region && m.Name != b.Self {
+			b.Send(m.Address, Message{Holding: &Holding{Zone: b.Zone, Started: v.Started}})
+		}
+	}
+}
+
+// receiveHolding keeps the rank of an instance whose registration ended.
+func (b *Book) receiveHolding(now time.Time, from string, h Holding) {
+	_, listed := b.order.byName[from]
+	if listed || b.office.gone == nil || b.regionOf(h.Zone) != b.Region {
+		return
+	}
+	if _, known := b.office.gone[from]; !known {
+		b.office.gone[from] = goneMember{Member{Name: from, Zone: h.Zone, Region: b.Region, Started: h.Started}, now}
+		b.appoint(now)
+	}
+}
+
 // listsSelf reports whether the list of members has the own registration.
 func (b *Book) listsSelf(v View) bool {
 	self := b.order.byName[b.Self]
 	return self.Started == v.Started && self.Registration >= b.office.registration
 }
 
-// membersHash identifies the registered instances of the region.
-func (b *Book) membersHash() (hash uint64) {
-	for _, m := range b.order.members {
-		if m.Region == b.Region {
-			hash ^= xxhash.Sum64String(m.Name)
-		}
-	}
-	return hash
-}
-
 // answerClaim answers the claim of another instance of the region. Its registration counts as
 // read only if nobody ended since that this instance still takes for registered: both know the
 // same members, or this instance read them after the claim arrived.
@@ -251,7 +267,7 @@
 		o.claims[from] = receivedClaim{c.Started, c.Registration, now}
 	}
 	listed := b.order.byName[from]
-	current := c.Members == b.membersHash() || o.readAt.After(o.claims[from].at)
+	current := c.Members == b.order.regionHash || o.readAt.After(o.claims[from].at)
 	ack := Ack{
 		Registration: c.Registration, Knows: o.claimed,
 		Read: current && listed.Started == c.Started && listed.Registration >= c.Registration,
--- a/ration/place.go
+++ b/ration/place.go
@@ -20,6 +20,8 @@
 	// members are the registered instances.
 	members []Member
 	byName  map[string]Member
+	// regionHash identifies the members of the region of this instance.
+	regionHash uint64
 	// ranked are those that may issue permits: the members and those that are gone for less
 	// than a term, without those that resigned. hashes are those of their names, byRegion their
 	// indexes.
@@ -36,10 +38,13 @@
 	zones []string
 }
 
-func (o *order) set(members []Member) {
-	o.members, o.byName = members, make(map[string]Member, len(members))
+func (o *order) set(members []Member, region string) {
+	o.members, o.byName, o.regionHash = members, make(map[string]Member, len(members)), 0
 	for _, m := range members {
 		o.byName[m.Name] = m
+		if m.Region == region {
+			o.regionHash ^= xxhash.Sum64String(m.Name)
+		}
 	}
 }
 
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -206,6 +206,7 @@
 		a.forgetAskers(now)
 	}
 	b.probe(now)
+	b.tellHolding(now, v)
 	if b.office.resigned && b.office.told < _resignations {
 		b.tellResigned()
 	}
--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -234,7 +234,23 @@
 			}
 			m.play(5 * time.Second)
 		}},
-		{"all killed and back", 0.3, func(_ *testing.T, m *model) {
+		{"all killed and back but some whose registration ended", 0.3, func(_ *testing.T, m *model) {
+			for _, n := range m.nodes {
+				n.dead = n.index%10 != 0
+				if !n.dead {
+					n.offline = true
+					delete(m.keys, n.member.Name)
+				}
+			}
+			m.play(500 * time.Millisecond)
+			for _, n := range m.nodes {
+				if n.dead {
+					n.start()
+				}
+			}
+			m.play(20 * time.Second)
+		}},
+		{"all killed and back", 0.5, func(_ *testing.T, m *model) {
 			for _, n := range m.nodes {
 				n.dead = true
 			}
