--- a/gateway/rations.go
+++ b/gateway/rations.go
@@ -75,7 +75,8 @@
 // overQuota logs that the quota of a team is used up.
 func (g *Gateway) overQuota(use ration.Use) {
 	g.Log.Info("team is over its quota", zap.String("team", use.Team), zap.Float64("perSecond", use.PerSecond), zap.Float64("burst", use.Burst),
-		zap.Int("granted", use.Granted), zap.Int("denied", use.Denied), zap.Int("unanswered", use.Unanswered),
+		zap.Int("granted", use.Granted), zap.Int("denied", use.Denied), zap.Int("returned", use.Returned), zap.Int("expired", use.Expired),
+		zap.Int("unanswered", use.Unanswered),
 		zap.Duration("quotaAgeMs", time.Since(use.Since)), zap.Strings("issuers", use.Issuers))
 }
 
--- a/gateway/rations_test.go
+++ b/gateway/rations_test.go
@@ -45,7 +45,7 @@
 	for _, i := range instances {
 		require.Eventually(t, func() bool { return i.ready() && len(i.addresses(t)) == 3 }, _waitTimeout, _pollInterval)
 	}
-	require.Eventually(t, func() bool { return sendAsTeam(t, instances[0], 0).StatusCode == http.StatusOK }, _waitTimeout, 100*time.Millisecond)
+	require.Eventually(t, func() bool { status, _ := sendAsTeam(t, instances[0], 0); return status == http.StatusOK }, _waitTimeout, 100*time.Millisecond)
 	from := time.Now()
 	var (
 		mu       sync.Mutex
@@ -55,12 +55,12 @@
 	for i, one := range instances {
 		group.Go(func() {
 			for n := 1; time.Since(from) < 8*time.Second; n++ {
-				resp := sendAsTeam(t, one, 1000*(i+1)+n)
+				status, retryAfter := sendAsTeam(t, one, 1000*(i+1)+n)
 				mu.Lock()
-				statuses[resp.StatusCode]++
+				statuses[status]++
 				mu.Unlock()
-				if resp.StatusCode == http.StatusTooManyRequests {
-					after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				if status == http.StatusTooManyRequests {
+					after, err := strconv.ParseFloat(retryAfter, 64)
 					assert.NoError(t, err)
 					assert.Less(t, after, 2.5)
 				}
@@ -82,7 +82,7 @@
 }
 
 // sendAsTeam sends a request with the key of the team.
-func sendAsTeam(t *testing.T, one *instance, n int) *http.Response {
+func sendAsTeam(t *testing.T, one *instance, n int) (status int, retryAfter string) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/r/%d/64", one.settings.Callers.Listen, n%40), nil)
 	assert.NoError(t, err)
@@ -92,9 +92,9 @@
 	req.Header.Set("X-Key", "key-1")
 	resp, err := http.DefaultClient.Do(req)
 	if !assert.NoError(t, err) {
-		return &http.Response{}
+		return 0, ""
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	return resp
+	return resp.StatusCode, resp.Header.Get("Retry-After")
 }
--- a/ration/holder.go
+++ b/ration/holder.go
@@ -1,6 +1,7 @@
 package ration
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -23,6 +24,9 @@
 	_maxWaits = 3
 	_overTime = 500 * time.Millisecond
 	_overRate = 1.5
+	// _firstShare is the part of a quota that an instance takes for its demand until it knows
+	// better.
+	_firstShare = 1.0 / 16
 	// _grantWeight is the weight of a new answer in the mean number of granted permits.
 	_grantWeight = 0.2
 	// _unansweredRetry is the time after which a caller may return if no issuer answers.
@@ -30,10 +34,10 @@
 )
 
 var (
-	_granted    = metrics.NewCounter("wigeonlock_team_permits_granted_total")
-	_expired    = metrics.NewCounter("wigeonlock_team_permits_expired_total")
-	_asked      = metrics.NewCounter("wigeonlock_team_permits_asked_total")
-	_unanswered = metrics.NewCounter("wigeonlock_team_permits_unanswered_total")
+	_granted    = metrics.NewCounter(`wigeonlock_team_permits_total{result="granted"}`)
+	_expired    = metrics.NewCounter(`wigeonlock_team_permits_total{result="expired"}`)
+	_asked      = metrics.NewCounter(`wigeonlock_team_permits_total{result="asked"}`)
+	_unanswered = metrics.NewCounter(`wigeonlock_team_permits_total{result="unanswered"}`)
 )
 
 // holding is what an instance holds and knows of the quota of a team.
@@ -83,6 +87,7 @@
 	number uint64
 	to     string
 	place  string
+	want   int
 	at     time.Time
 	done   chan struct{}
 }
@@ -155,7 +160,7 @@
 	if h == nil || h.limit != p.limit {
 		return
 	}
-	h.use.Granted--
+	h.use.Returned++
 	if now.Before(p.until) {
 		h.permits = slices.Insert(h.permits, 0, p)
 	}
@@ -168,7 +173,7 @@
 		return h
 	}
 	if h == nil {
-		h = &holding{countedAt: now, asks: _maxAsks, asksAt: now, use: Use{Team: l.Team}}
+		h = &holding{countedAt: now, rate: l.PerSecond * _firstShare, asks: _maxAsks, asksAt: now, use: Use{Team: l.Team}}
 		if b.holdings == nil {
 			b.holdings = make(map[string]*holding)
 		}
@@ -190,6 +195,7 @@
 			h.use.Granted++
 			return p, true
 		}
+		h.use.Expired++
 		h.unused[p.place]++
 		_expired.Inc()
 	}
@@ -230,16 +236,16 @@
 // after which another question may be asked, if that is why there is none.
 func (b *Book) ask(now time.Time, h *holding, want int) (paused time.Duration) {
 	h.updateRate(now)
-	for _, place := range h.places {
+	for _, place := range h.openPlaces(now) {
 		owner, ok := b.owner(accountKey{h.limit.Team, place})
-		if !ok || b.isSilent(owner.Name) || now.Before(h.rests[place].until) {
+		if !ok || b.isSilent(owner.Name) {
 			continue
 		}
 		q := Ask{Team: h.limit.Team, Place: place, Want: want, Unused: h.unused[place]}
 		if owner.Name == b.Self {
 			delete(h.unused, place)
 			reply, _ := b.issue(now, b.Self, 0, q)
-			b.apply(now, h, now, reply)
+			b.apply(now, h, now, want, reply)
 			if reply.Granted > 0 {
 				return 0
 			}
@@ -251,7 +257,7 @@
 		delete(h.unused, place)
 		b.number++
 		h.waiting = 0
-		h.question = &question{number: b.number, to: owner.Name, place: place, at: now, done: make(chan struct{})}
+		h.question = &question{number: b.number, to: owner.Name, place: place, want: want, at: now, done: make(chan struct{})}
 		_asked.Inc()
 		b.Send(owner.Address, Message{Number: b.number, Ask: &q})
 		return 0
@@ -259,6 +265,26 @@
 	return 0
 }
 
+// openPlaces returns the places that do not rest in the order in which they are asked. Among those
+// whose rest ended just now, the first to end comes first: asked at even intervals, no place fills
+// up while others are asked.
+func (h *holding) openPlaces(now time.Time) []string {
+	open := make([]string, 0, len(h.places))
+	for _, place := range h.places {
+		if !now.Before(h.rests[place].until) {
+			open = append(open, place)
+		}
+	}
+	rank := func(place string) int64 {
+		if until := h.rests[place].until; now.Sub(until) < _overTime {
+			return until.UnixNano()
+		}
+		return 0
+	}
+	slices.SortStableFunc(open, func(x, y string) int { return cmp.Compare(rank(x), rank(y)) })
+	return open
+}
+
 // countAsk counts another question for the team, or returns the time after which it may be
 // asked.
 func (h *holding) countAsk(now time.Time) time.Duration {
@@ -271,8 +297,9 @@
 	return 0
 }
 
-// apply takes in the answer to a question that was asked at askedAt.
-func (b *Book) apply(now time.Time, h *holding, askedAt time.Time, r Reply) {
+// apply takes in the answer to a question for want permits that was asked at askedAt. A place that
+// granted less than half of them rests until the other places were asked.
+func (b *Book) apply(now time.Time, h *holding, askedAt time.Time, want int, r Reply) {
 	if r.Declined {
 		h.rests[r.Place] = rest{now.Add(_declinedTime), true}
 		return
@@ -285,7 +312,11 @@
 	h.usualGrant += _grantWeight * (float64(r.Granted) - h.usualGrant)
 	_granted.Add(r.Granted)
 	if r.RetryMs > 0 {
-		h.rests[r.Place] = rest{until: now.Add(min(time.Duration(r.RetryMs)*time.Millisecond, _maxRetry))}
+		pause := min(time.Duration(r.RetryMs)*time.Millisecond, _maxRetry)
+		if 2*r.Granted < want {
+			pause = max(pause, _askInterval*time.Duration(len(h.places)-1))
+		}
+		h.rests[r.Place] = rest{until: now.Add(pause)}
 	}
 }
 
@@ -299,7 +330,7 @@
 		b.endQuestion(now, h)
 		return
 	}
-	b.apply(now, h, h.question.at, *m.Reply)
+	b.apply(now, h, h.question.at, h.question.want, *m.Reply)
 	h.release()
 }
 
--- a/ration/issuer.go
+++ b/ration/issuer.go
@@ -12,9 +12,11 @@
 	// burst: a place has none left while others have some. It is part of what a quota may be
 	// exceeded by: 20 requests and a tenth.
 	_extraBurst = 14.0
-	// _burstTime is the time whose permits may be issued at once whatever the burst is: questions
-	// for a team arrive that far apart.
-	_burstTime = 150 * time.Millisecond
+	// _burstTime is the time whose permits may be issued at once, beyond a burst and its tenth, and
+	// _minBurstTime that of a quota without a burst: questions for a team arrive that far apart.
+	_burstTime    = 100 * time.Millisecond
+	_minBurstTime = 150 * time.Millisecond
+	_burstFactor  = 1.1
 	// _maxGrant is the largest number of permits in one answer.
 	_maxGrant = 512
 	// _askerTime is the time for which an instance that asked counts as one that will ask
@@ -27,8 +29,8 @@
 )
 
 var (
-	_issued   = metrics.NewCounter("wigeonlock_team_permits_issued_total")
-	_declined = metrics.NewCounter("wigeonlock_team_permits_declined_total")
+	_issued   = metrics.NewCounter(`wigeonlock_team_permits_total{result="issued"}`)
+	_declined = metrics.NewCounter(`wigeonlock_team_permits_total{result="declined"}`)
 )
 
 type accountKey struct {
@@ -57,7 +59,8 @@
 func (a *account) set(now time.Time, l Limit, places int) {
 	a.refill(now)
 	a.rate = l.PerSecond / float64(places)
-	a.most = (max(l.Burst, l.PerSecond*_burstTime.Seconds()) + _extraBurst) / float64(places)
+	burst := max(l.Burst*_burstFactor+l.PerSecond*_burstTime.Seconds(), l.PerSecond*_minBurstTime.Seconds())
+	a.most = (burst + _extraBurst) / float64(places)
 	a.left = min(a.left, a.most)
 }
 
@@ -70,13 +73,12 @@
 	}
 }
 
-// take takes up to want permits, one or at most half of those that are left, which leaves some
-// for the other instances.
+// take takes up to want permits.
 func (a *account) take(want int) int {
 	if want <= 0 || a.left < 1 {
 		return 0
 	}
-	n := min(want, max(int(a.left/2), 1), _maxGrant)
+	n := min(want, int(a.left), _maxGrant)
 	a.left -= float64(n)
 	return n
 }
--- a/ration/message.go
+++ b/ration/message.go
@@ -12,8 +12,8 @@
 	Ack    *Ack   `json:"ack,omitempty"`
 	// Holding tells that the sender still issues permits, though its registration ended.
 	Holding *Holding `json:"holding,omitempty"`
-	// Resigned is the incarnation of the sender, which does not issue permits any more.
-	Resigned int64 `json:"resigned,omitempty"`
+	// Resigned is the registration with which the sender does not issue permits any more.
+	Resigned *Registration `json:"resigned,omitempty"`
 	// Probe asks an instance that was silent to answer with Present.
 	Probe   bool `json:"probe,omitempty"`
 	Present bool `json:"present,omitempty"`
@@ -56,6 +56,17 @@
 	Replaced     bool  `json:"replaced,omitempty"`
 }
 
+// Registration is a registration of an incarnation of an instance.
+type Registration struct {
+	Started int64 `json:"started"`
+	Number  int64 `json:"number"`
+}
+
+// covers reports whether a registration is this one or one before it, of the same incarnation.
+func (r Registration) covers(m Member) bool {
+	return m.Started == r.Started && m.Registration <= r.Number
+}
+
 // Holding names the zone and the incarnation of an instance.
 type Holding struct {
 	Zone    string `json:"zone"`
@@ -65,7 +76,7 @@
 // Valid reports whether a message that was received can be used.
 func (m Message) Valid() bool {
 	parts := 0
-	for _, set := range []bool{m.Ask != nil, m.Reply != nil, m.Claim != nil, m.Ack != nil, m.Holding != nil, m.Resigned != 0, m.Probe, m.Present} {
+	for _, set := range []bool{m.Ask != nil, m.Reply != nil, m.Claim != nil, m.Ack != nil, m.Holding != nil, m.Resigned != nil, m.Probe, m.Present} {
 		if set {
 			parts++
 		}
@@ -100,8 +111,8 @@
 		b.receiveAck(from, *m.Ack)
 	case m.Holding != nil:
 		b.receiveHolding(now, from, *m.Holding)
-	case m.Resigned != 0:
-		b.receiveResigned(now, from, m.Resigned)
+	case m.Resigned != nil:
+		b.receiveResigned(now, from, *m.Resigned)
 	case m.Probe:
 		return &Message{Present: true}
 	}
--- a/ration/office.go
+++ b/ration/office.go
@@ -16,6 +16,9 @@
 	// _unknownTime is how long after the start of an instance others may issue whose registration
 	// ended before: they lapsed a lease time after they were renewed, or tell that they are there.
 	_unknownTime = 2500 * time.Millisecond
+	// _releaseTime is the time after which an instance gives up its office whose registration ended.
+	// After an outage of the store in which all ended, all are registered again by then.
+	_releaseTime = 2 * time.Second
 	// _claimInterval is the time between two claims to the instances that have not answered.
 	_claimInterval = 250 * time.Millisecond
 	// _reclaimInterval is the time between two claims to those that answered, while others may
@@ -52,6 +55,11 @@
 	// resigned is set as the instance stops; told counts how often the others were told.
 	resigned bool
 	told     int
+	// released is set if the office of the registration was given up; delistedAt is since when
+	// the registration is missing from the list of members.
+	released   bool
+	delistedAt time.Time
+	started    int64
 	// registration is the one that is claimed, registeredAt when it was first seen to be
 	// written. acks are the answers of those that read of
 	// it.
@@ -71,7 +79,7 @@
 	// gone are the instances whose registrations ended within a term, and when; leaving are the
 	// incarnations that resigned.
 	gone    map[string]goneMember
-	leaving map[string]int64
+	leaving map[string]Registration
 	// claims are the claims of other instances, by when they arrived first.
 	claims map[string]receivedClaim
 }
@@ -105,13 +113,13 @@
 	}
 	o.readAt = v.ReadAt
 	if o.gone == nil {
-		o.gone, o.leaving = make(map[string]goneMember), make(map[string]int64)
+		o.gone, o.leaving = make(map[string]goneMember), make(map[string]Registration)
 	}
 	if b.order.byName == nil || !slices.Equal(v.Members, b.order.members) {
 		before := b.order.members
 		b.order.set(slices.Clone(v.Members), b.Region)
 		for _, m := range before {
-			if _, listed := b.order.byName[m.Name]; !listed && m.Name != b.Self && o.leaving[m.Name] != m.Started {
+			if _, listed := b.order.byName[m.Name]; !listed && m.Name != b.Self && !o.leaving[m.Name].covers(m) {
 				o.gone[m.Name] = goneMember{m, now}
 			}
 		}
@@ -135,7 +143,7 @@
 func (b *Book) rank() {
 	ranked := make([]Member, 0, len(b.order.members)+len(b.office.gone))
 	for _, m := range b.order.members {
-		if started, leaving := b.office.leaving[m.Name]; !leaving || started != m.Started {
+		if !b.office.leaving[m.Name].covers(m) {
 			ranked = append(ranked, m)
 		}
 	}
@@ -149,10 +157,12 @@
 // It reports whether the office was taken.
 func (b *Book) claim(now time.Time, v View) (taken bool) {
 	o := &b.office
+	o.started = v.Started
 	if v.Registration != o.registration {
+		o.released = false
 		o.registration, o.registeredAt, o.claimed, o.acks = v.Registration, now, false, make(map[string]Ack)
 	}
-	if o.registration == 0 {
+	if o.registration == 0 || o.released {
 		return false
 	}
 	if !o.claimed {
@@ -224,6 +234,23 @@
 	return missing, current
 }
 
+// release gives up the office of an instance whose registration ended some time ago while it
+// still hears of the others: one of them takes its place at once.
+func (b *Book) release(now time.Time, v View) {
+	o := &b.office
+	if b.listsSelf(v) || now.Sub(v.ReadAt) >= _releaseTime {
+		o.delistedAt = time.Time{}
+		return
+	}
+	if o.delistedAt.IsZero() {
+		o.delistedAt = now
+	}
+	if o.claimed && !o.released && now.Sub(o.delistedAt) >= _releaseTime {
+		o.released, o.claimed, o.until, o.told = true, false, time.Time{}, 0
+		b.accounts = nil
+	}
+}
+
 // tellHolding tells the registered instances of the region that this one, whose registration
 // ended, still issues permits: those that started since do not know.
 func (b *Book) tellHolding(now time.Time, v View) {
@@ -328,10 +355,10 @@
 // tellResigned tells the others that the instance resigned.
 func (b *Book) tellResigned() {
 	b.office.told++
-	self := b.order.byName[b.Self]
+	resigned := &Registration{b.office.started, b.office.registration}
 	for _, m := range b.order.members {
 		if m.Name != b.Self {
-			b.Send(m.Address, Message{Resigned: self.Started})
+			b.Send(m.Address, Message{Resigned: resigned})
 		}
 	}
 }
@@ -351,14 +378,14 @@
 }
 
 // receiveResigned records that an instance resigned: it is not waited for.
-func (b *Book) receiveResigned(now time.Time, from string, started int64) {
+func (b *Book) receiveResigned(now time.Time, from string, r Registration) {
 	if b.office.leaving == nil {
 		return
 	}
-	if m, listed := b.order.byName[from]; listed && m.Started == started {
-		b.office.leaving[from] = started
+	if m, listed := b.order.byName[from]; listed && r.covers(m) {
+		b.office.leaving[from] = r
 	}
-	if g, gone := b.office.gone[from]; gone && g.Started == started {
+	if g, gone := b.office.gone[from]; gone && r.covers(g.Member) {
 		delete(b.office.gone, from)
 	}
 	b.appoint(now)
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -172,7 +172,7 @@
 			since[l.Team] = at
 		}
 	}
-	b.limits, b.since = configured, since
+	b.limits, b.since, b.order.places = configured, since, nil
 	for team, h := range b.holdings {
 		if _, limited := configured[team]; !limited {
 			h.release()
@@ -187,6 +187,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := b.observe(now, v)
+	b.release(now, v)
 	taken := b.claim(now, v)
 	if taken || changed {
 		b.appoint(now)
@@ -207,7 +208,7 @@
 	}
 	b.probe(now)
 	b.tellHolding(now, v)
-	if b.office.resigned && b.office.told < _resignations {
+	if (b.office.resigned || b.office.released) && b.office.told < _resignations {
 		b.tellResigned()
 	}
 }
--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -207,6 +207,24 @@
 			}
 			m.play(20 * time.Second)
 		}},
+		{"third turned away", 0.85, func(_ *testing.T, m *model) {
+			for _, n := range m.nodes {
+				n.offline = n.index%3 == 0
+			}
+			// The others pass on what they read.
+			for range 48 {
+				m.play(_tickEvery)
+				for _, n := range m.nodes {
+					if n.offline {
+						n.view.ReadAt, n.view.Members = n.now(), m.members()
+					}
+				}
+			}
+			for _, n := range m.nodes {
+				n.offline = false
+			}
+			m.play(8 * time.Second)
+		}},
 		{"lossy", 0.85, func(_ *testing.T, m *model) {
 			m.loss = 0.1
 			m.play(15 * time.Second)
@@ -285,6 +303,25 @@
 	}
 }
 
+// TestQuotaIsUsedWhereTheDemandIs has all callers of a team in one region.
+func TestQuotaIsUsedWhereTheDemandIs(t *testing.T) {
+	m := newModel(2, 82, _large)
+	for _, n := range m.nodes {
+		n.callers = n.callers && n.zone >= 4
+	}
+	m.play(_warmUp)
+	// A part of the instances has callers.
+	m.demand["large"] = 375 * _zoneCount / 2
+	from := m.now
+	m.play(10 * time.Second)
+	assert.GreaterOrEqual(t, m.served("large", from), 0.95)
+	m.demand["large"] *= 12
+	from = m.now
+	m.play(10 * time.Second)
+	m.check(t, _large, _epoch)
+	assert.GreaterOrEqual(t, m.used("large", from), 0.95*_large.PerSecond)
+}
+
 // TestLowerQuotaBindsAtOnce lowers a quota whose permits were issued in advance.
 func TestLowerQuotaBindsAtOnce(t *testing.T) {
 	m := newModel(1, 82, _large)
@@ -357,7 +394,7 @@
 		now = now.Add(10 * time.Millisecond)
 	}
 	require.Equal(t, Denied, b.Take(now, Limit{"team", 1, 4}, 0).Verdict, "the quota is used up")
-	b.Return(now, last)
+	b.Return(now, Permit{last.limit, last.place, now})
 	require.Equal(t, Denied, b.Take(now, Limit{"team", 1, 4}, 0).Verdict, "it is not valid any more")
 	b.Return(now, Permit{last.limit, last.place, now.Add(time.Millisecond)})
 	assert.Equal(t, Granted, b.Take(now, Limit{"team", 1, 4}, 0).Verdict)
@@ -382,9 +419,16 @@
 }
 
 func BenchmarkTakeHeldPermit(b *testing.B) {
-	limit := Limit{"team", 1e9, 1e9}
+	limit := Limit{"team", 100, 10}
 	book, now := alone(limit)
 	for b.Loop() {
+		h := book.holdingOf(now, limit)
+		if len(h.permits) < 100 {
+			h.permits = append(h.permits, make([]Permit, 10_000)...)
+			for i := range h.permits {
+				h.permits[i] = Permit{limit, "z", now.Add(time.Hour)}
+			}
+		}
 		if book.Take(now, limit, 0).Verdict != Granted {
 			b.Fatal("not granted")
 		}
--- a/ration/use.go
+++ b/ration/use.go
@@ -14,9 +14,12 @@
 	Team      string
 	PerSecond float64
 	Burst     float64
-	// Granted and Denied count requests, Unanswered questions.
+	// Granted, Denied and Returned count requests, the last those that no worker ran. Expired counts
+	// permits that were not used in time, Unanswered questions.
 	Granted    int
 	Denied     int
+	Returned   int
+	Expired    int
 	Unanswered int
 	// Since is when the quota was configured, and Issuers are the instances that issue its
 	// permits, as far as the registrations tell.
