--- a/gateway/http.go
+++ b/gateway/http.go
@@ -13,6 +13,9 @@
 	"github.com/wigeonlock/wigeonlock/platform"
 )
 
+// _maxTeamMetrics limits the teams that have metrics of their own.
+const _maxTeamMetrics = 20
+
 // readiness returns the handler that reports whether the instance serves callers.
 func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
--- a/gateway/rations.go
+++ b/gateway/rations.go
@@ -14,8 +14,8 @@
 	"github.com/wigeonlock/wigeonlock/ration"
 )
 
-// _maxTeamMetrics is the number of teams that have metrics of their own: those that send most.
-const _maxTeamMetrics = 20
+// _maxQuotaMetrics is the number of teams whose quotas have metrics of their own: those that send most.
+const _maxQuotaMetrics = 20
 
 // newRations returns the quotas of teams on this instance.
 func newRations(g *Gateway, s *Settings) *ration.Book {
@@ -75,7 +75,8 @@
 // overQuota logs that the quota of a team is used up.
 func (g *Gateway) overQuota(use ration.Use) {
 	g.Log.Info("team is over its quota", zap.String("team", use.Team), zap.Float64("perSecond", use.PerSecond), zap.Float64("burst", use.Burst),
-		zap.Int("granted", use.Granted), zap.Int("denied", use.Denied), zap.Int("unanswered", use.Unanswered),
+		zap.Int("granted", use.Granted), zap.Int("denied", use.Denied), zap.Int("returned", use.Returned), zap.Int("expired", use.Expired),
+		zap.Int("unanswered", use.Unanswered),
 		zap.Duration("quotaAgeMs", time.Since(use.Since)), zap.Strings("issuers", use.Issuers))
 }
 
@@ -86,8 +87,8 @@
 		return
 	}
 	metrics.WriteGaugeUint64(w, "wigeonlock_team_offices", uint64(g.rations.Offices(now)))
-	for _, use := range g.rations.Uses(_maxTeamMetrics) {
-		const requests = "wigeonlock_team_requests_total{team=%q,quota=%q}"
+	for _, use := range g.rations.Uses(_maxQuotaMetrics) {
+		const requests = "wigeonlock_team_quota_requests_total{team=%q,result=%q}"
 		metrics.WriteCounterUint64(w, fmt.Sprintf(requests, use.Team, "granted"), uint64(use.Granted))
 		metrics.WriteCounterUint64(w, fmt.Sprintf(requests, use.Team, "denied"), uint64(use.Denied))
 		if use.Team != "" {
--- a/ration/office.go
+++ b/ration/office.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -15,6 +13,12 @@
 	// _termMargin is the part of a term that an issuer leaves unused, for news on their way and
 	// clocks that do not run equally fast.
 	_termMargin = 500 * time.Millisecond
+	// _unknownTime is how long after the start of an instance others may issue whose registration
+	// ended before: they lapsed a lease time after they were renewed, or tell that they are there.
+	_unknownTime = 2500 * time.Millisecond
+	// _releaseTime is the time after which an instance gives up its office whose registration ended.
+	// After an outage of the store in which all ended, all are registered again by then.
+	_releaseTime = 2 * time.Second
 	// _claimInterval is the time between two claims to the instances that have not answered.
 	_claimInterval = 250 * time.Millisecond
 	// _reclaimInterval is the time between two claims to those that answered, while others may
@@ -51,6 +55,11 @@
 	// resigned is set as the instance stops; told counts how often the others were told.
 	resigned bool
 	told     int
+	// released is set if the office of the registration was given up; delistedAt is since when
+	// the registration is missing from the list of members.
+	released   bool
+	delistedAt time.Time
+	started    int64
 	// registration is the one that is claimed, registeredAt when it was first seen to be
 	// written. acks are the answers of those that read of
 	// it.
@@ -70,7 +79,7 @@
 	// gone are the instances whose registrations ended within a term, and when; leaving are the
 	// incarnations that resigned.
 	gone    map[string]goneMember
-	leaving map[string]int64
+	leaving map[string]Registration
 	// claims are the claims of other instances, by when they arrived first.
 	claims map[string]receivedClaim
 }
@@ -104,13 +113,13 @@
 	}
 	o.readAt = v.ReadAt
 	if o.gone == nil {
-		o.gone, o.leaving = make(map[string]goneMember), make(map[string]int64)
+		o.gone, o.leaving = make(map[string]goneMember), make(map[string]Registration)
 	}
 	if b.order.byName == nil || !slices.Equal(v.Members, b.order.members) {
 		before := b.order.members
-		b.order.set(slices.Clone(v.Members))
+		b.order.set(slices.Clone(v.Members), b.Region)
 		for _, m := range before {
-			if _, listed := b.order.byName[m.Name]; !listed && m.Name != b.Self && o.leaving[m.Name] != m.Started {
+			if _, listed := b.order.byName[m.Name]; !listed && m.Name != b.Self && !o.leaving[m.Name].covers(m) {
 				o.gone[m.Name] = goneMember{m, now}
 			}
 		}
@@ -134,7 +143,7 @@
 func (b *Book) rank() {
 	ranked := make([]Member, 0, len(b.order.members)+len(b.office.gone))
 	for _, m := range b.order.members {
-		if started, leaving := b.office.leaving[m.Name]; !leaving || started != m.Started {
+		if !b.office.leaving[m.Name].covers(m) {
 			ranked = append(ranked, m)
 		}
 	}
@@ -148,10 +157,12 @@
 // It reports whether the office was taken.
 func (b *Book) claim(now time.Time, v View) (taken bool) {
 	o := &b.office
+	o.started = v.Started
 	if v.Registration != o.registration {
+		o.released = false
 		o.registration, o.registeredAt, o.claimed, o.acks = v.Registration, now, false, make(map[string]Ack)
 	}
-	if o.registration == 0 {
+	if o.registration == 0 || o.released {
 		return false
 	}
 	if !o.claimed {
@@ -166,12 +177,12 @@
 // completeClaim completes the claim if all instances of the region answered that may have
 // issued before, or after a term, and asks those that did not. An office that was held until
 // now goes on. Otherwise nobody may still issue whose registration ended, as far as the others
-// know or this instance, after a term; and all accounts begin empty.
+// know or this instance, after _unknownTime; and all accounts begin empty.
 func (b *Book) completeClaim(now time.Time, v View) bool {
 	o := &b.office
 	missing, current := b.missingAcks(v)
 	held := o.held(now)
-	complete := current && len(missing) == 0 && (held || o.isClear() || now.Sub(o.watchedAt) >= _term)
+	complete := current && len(missing) == 0 && (held || o.isClear() || now.Sub(o.watchedAt) >= _unknownTime)
 	if complete || now.Sub(o.registeredAt) >= _term {
 		o.claimed = true
 		if !held {
@@ -186,7 +197,7 @@
 			clear(o.acks)
 		}
 		for _, m := range missing {
-			b.Send(m.Address, Message{Claim: &Claim{Started: v.Started, Registration: o.registration, Members: b.membersHash()}})
+			b.Send(m.Address, Message{Claim: &Claim{Started: v.Started, Registration: o.registration, Members: b.order.regionHash}})
 		}
 	}
 	return false
@@ -223,20 +234,52 @@
 	return missing, current
 }
 
-// listsSelf reports whether the list of members has the own registration.
-func (b *Book) listsSelf(v View) bool {
-	self := b.order.byName[b.Self]
-	return self.Started == v.Started && self.Registration >= b.office.registration
+// release gives up the office of an instance whose registration ended some time ago while it
+// still hears of the others: one of them takes its place at once.
+func (b *Book) release(now time.Time, v View) {
+	o := &b.office
+	if b.listsSelf(v) || now.Sub(v.ReadAt) >= _releaseTime {
+		o.delistedAt = time.Time{}
+		return
+	}
+	if o.delistedAt.IsZero() {
+		o.delistedAt = now
+	}
+	if o.claimed && !o.released && now.Sub(o.delistedAt) >= _releaseTime {
+		o.released, o.claimed, o.until, o.told = true, false, time.Time{}, 0
+		b.accounts = nil
+	}
 }
 
-// membersHash identifies the registered instances of the region.
-func (b *Book) membersHash() (hash uint64) {
+// tellHolding tells the registered instances of the region that this one, whose registration
+// ended, still issues permits: those that started since do not know.
+func (b *Book) tellHolding(now time.Time, v View) {
+	if !b.office.held(now) || b.listsSelf(v) {
+		return
+	}
 	for _, m := range b.order.members {
-		if m.Region == b.Region {
-			hash ^= xxhash.Sum64String(m.Name)
+		if m.Region == b.Region && m.Name != b.Self {
+			b.Send(m.Address, Message{Holding: &Holding{Zone: b.Zone, Started: v.Started}})
 		}
 	}
-	return hash
+}
+
+// receiveHolding keeps the rank of an instance whose registration ended.
+func (b *Book) receiveHolding(now time.Time, from string, h Holding) {
+	_, listed := b.order.byName[from]
+	if listed || b.office.gone == nil || b.regionOf(h.Zone) != b.Region {
+		return
+	}
+	if _, known := b.office.gone[from]; !known {
+		b.office.gone[from] = goneMember{Member{Name: from, Zone: h.Zone, Region: b.Region, Started: h.Started}, now}
+		b.appoint(now)
+	}
+}
+
+// listsSelf reports whether the list of members has the own registration.
+func (b *Book) listsSelf(v View) bool {
+	self := b.order.byName[b.Self]
+	return self.Started == v.Started && self.Registration >= b.office.registration
 }
 
 // answerClaim answers the claim of another instance of the region. Its registration counts as
@@ -251,7 +294,7 @@
 		o.claims[from] = receivedClaim{c.Started, c.Registration, now}
 	}
 	listed := b.order.byName[from]
-	current := c.Members == b.membersHash() || o.readAt.After(o.claims[from].at)
+	current := c.Members == b.order.regionHash || o.readAt.After(o.claims[from].at)
 	ack := Ack{
 		Registration: c.Registration, Knows: o.claimed,
 		Read: current && listed.Started == c.Started && listed.Registration >= c.Registration,
@@ -312,10 +355,10 @@
 // tellResigned tells the others that the instance resigned.
 func (b *Book) tellResigned() {
 	b.office.told++
-	self := b.order.byName[b.Self]
+	resigned := &Registration{b.office.started, b.office.registration}
 	for _, m := range b.order.members {
 		if m.Name != b.Self {
-			b.Send(m.Address, Message{Resigned: self.Started})
+			b.Send(m.Address, Message{Resigned: resigned})
 		}
 	}
 }
@@ -335,14 +378,14 @@
 }
 
 // receiveResigned records that an instance resigned: it is not waited for.
-func (b *Book) receiveResigned(now time.Time, from string, started int64) {
+func (b *Book) receiveResigned(now time.Time, from string, r Registration) {
 	if b.office.leaving == nil {
 		return
 	}
-	if m, listed := b.order.byName[from]; listed && m.Started == started {
-		b.office.leaving[from] = started
+	if m, listed := b.order.byName[from]; listed && r.covers(m) {
+		b.office.leaving[from] = r
 	}
-	if g, gone := b.office.gone[from]; gone && g.Started == started {
+	if g, gone := b.office.gone[from]; gone && r.covers(g.Member) {
 		delete(b.office.gone, from)
 	}
 	b.appoint(now)
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -172,7 +172,7 @@
 			since[l.Team] = at
 		}
 	}
-	b.limits, b.since = configured, since
+	b.limits, b.since, b.order.places = configured, since, nil
 	for team, h := range b.holdings {
 		if _, limited := configured[team]; !limited {
 			h.release()
@@ -187,6 +187,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := b.observe(now, v)
+	b.release(now, v)
 	taken := b.claim(now, v)
 	if taken || changed {
 		b.appoint(now)
@@ -206,7 +207,8 @@
 		a.forgetAskers(now)
 	}
 	b.probe(now)
-	if b.office.resigned && b.office.told < _resignations {
+	b.tellHolding(now, v)
+	if (b.office.resigned || b.office.released) && b.office.told < _resignations {
 		b.tellResigned()
 	}
 }
