exchange: concurrent dials stay within the number of connections

Cause: a connection was counted only after its dial, so two dials at once both found room under MaxConns. Change: it is counted before.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -359,7 +359,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	if p.MaxConns > 0 && p.open.Load() >= int64(p.MaxConns) && !p.closeOldestIdle() {
+	// Counted before the dial, so that concurrent dials stay within MaxConns.
+	if open := p.open.Add(1); p.MaxConns > 0 && open > int64(p.MaxConns) && !p.closeOldestIdle() {
+		p.open.Add(-1)
 		_starved.Inc()
 		return nil, errNoConnections
 	}
@@ -372,11 +374,11 @@
 	}
 	nc, err := dial(ctx, address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
 	c := newConn(nc)
 	c.open = &p.open
-	p.open.Add(1)
 	return c, nil
 }
 
