--- a/soak/variant/variant.go
+++ b/soak/variant/variant.go
@@ -154,8 +154,8 @@
 		{
 			"truncated answers count as complete", check.OwnAnswer,
 			[]Edit{
-				{"exchange/body.go", "case err != nil:\n\t\t\treturn nil, err", "case err != nil:\n\t\t\treturn buf.Bytes(), nil"},
-				{"exchange/body.go", "return nil, io.ErrUnexpectedEOF", "return buf.Bytes(), nil"},
+				{"exchange/body.go", "case err != nil:\n\t\t\treturn nil, err", "case err != nil:\n\t\t\treturn buf, nil"},
+				{"exchange/body.go", "io.ErrUnexpectedEOF\n\t\t\t}\n\t\t\treturn nil, err", "io.ErrUnexpectedEOF\n\t\t\t}\n\t\t\treturn buf, nil"},
 			},
 			workerFaults("truncate", 0.3),
 		},
