--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -162,8 +162,9 @@
 	}
 	r.play(ctx)
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.result(), r.err
+	err = r.err
+	r.mu.Unlock()
+	return r.result(), err
 }
 
 // get sends a GET request to a process.
