Revert "forward: workers tell that they are cold while the store does not"

gateway.TestLifecycle fails with it: during an outage of the store a worker that does not answer at its health path counts as cold, and with a small cold_per_s it then gets no request at all.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -97,8 +97,6 @@
 // Service is the configuration of a service.
 type Service struct {
 	Name string
-	// HealthPath is the path at which a worker tells how it is, or empty.
-	HealthPath string
 	// MaxConnections limits the connections of all callers to one worker.
 	MaxConnections int
 	// ColdTime is how long a worker is cold after its start.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -87,10 +87,6 @@
 	Leaving string
 	// Rest is the pause that a worker asks this instance for when it refuses a request.
 	Rest string
-	// Cold is how long a worker stays cold, in milliseconds, and Self its ID, in the answers
-	// at its health path.
-	Cold string
-	Self string
 }
 
 // Target is the ID and the host:port address of a worker.
@@ -223,7 +219,6 @@
 	// _unnamedRefusals counts refusals that may be copies of earlier ones.
 	_unnamedRefusals = metrics.NewCounter("wigeonlock_unnamed_refusals_total")
 	_badRests        = metrics.NewCounter("wigeonlock_unusable_rests_total")
-	_probes          = metrics.NewCounter("wigeonlock_probes_total")
 	_badStatuses     = metrics.NewCounter("wigeonlock_unusable_statuses_total")
 	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
 	_starved         = metrics.NewCounter("wigeonlock_worker_connections_denied_total")
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,15 +118,6 @@
 	HasEnded     func(ctx context.Context, t exchange.Target) bool
 	TellSuspects func(news suspect.News)
 
-	// Probe, if set, asks a worker at its health path how long it stays cold, while the store
-	// does not tell. ProbeRank returns the place of this instance among those of the region
-	// that may ask a worker, and TellCold passes the answer on to them. StoreReadAt returns when
-	// the store was read last; it is set if Probe is. They must not block.
-	StoreReadAt func() time.Time
-	Probe       func(ctx context.Context, t exchange.Target, path string) (time.Duration, error)
-	ProbeRank   func(id string) int
-	TellCold    func(news worker.Cold)
-
 	// regions is the number of regions.
 	regions int
 
@@ -138,11 +129,8 @@
 	budgets map[string]*retry.SharedBudget
 	checks  map[incarnation]*workerCheck
 	tells   limit.Bucket
-	probes  map[string]*probe
 	// goneAt is since when workers with a limit have no entry.
 	goneAt map[string]time.Time
-	// oldUntil is until when the entries of workers do not tell whether they are cold.
-	oldUntil time.Time
 }
 
 // Prepare initializes the service. It must be called before any other method.
@@ -167,7 +155,6 @@
 	s.Permits.Changed, s.Permits.Silent = s.limitChanged, s.instanceSilent
 	s.budgets = make(map[string]*retry.SharedBudget)
 	s.checks = make(map[incarnation]*workerCheck)
-	s.probes = make(map[string]*probe)
 	s.goneAt = make(map[string]time.Time)
 	if s.Suspects == nil {
 		s.Suspects = &suspect.Book{Tries: func(suspect.Content) bool { return true }}
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -72,7 +72,6 @@
 // permit requests a permit to send a request to a worker. If it is pending, permit returns
 // the channel that is closed when it is not any more. The caller holds s.mu.
 func (s *Service) permit(now time.Time, rs *requestState, w *worker.Worker, cold bool) (placement.Permission, <-chan struct{}) {
-	w.UsedAt = now
 	if rs.isHeldBackFrom(w) || cold && !s.coldReady(now, w) {
 		return placement.Denied, nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,8 +57,6 @@
 	// _stopShare is the fraction of the stop timeout after which the instance no
 	// longer waits for pending requests.
 	_stopShare = 0.9
-	// _probeTick is how often the ages of the entries of workers are checked.
-	_probeTick = 50 * time.Millisecond
 	// _bodyShare is the part of the memory that large bodies of answers may take while
 	// they are read.
 	_bodyShare = 0.25
@@ -119,7 +117,6 @@
 	g.forward = &forward.Service{
 		Exchange: g.pool, Instance: s.Instance, Region: s.Region, Zones: zones, Log: g.Log, Moved: g.movefeed.Tell, Left: g.permitfeed.TellLeaving,
 		Permits: permits, HasEnded: g.pool.HasEnded, TellSuspects: g.permitfeed.TellSuspects, Suspects: &suspect.Book{Tries: g.tries},
-		Probe: g.pool.Probe, ProbeRank: g.probeRank, TellCold: g.permitfeed.TellCold,
 	}
 	g.permitfeed.Fleet = g.fleet
 	g.permitfeed.Workers = g.forward
@@ -144,7 +141,6 @@
 		Instance: s.Instance, Neighbours: g.neighbours, Peers: &changefeed.Client{Instance: s.Instance},
 		Start: g.start, Order: &platform.Order{Product: compareRegistrations}, Era: g.client.Era,
 	}
-	g.forward.StoreReadAt = g.watcher.ReadAt
 	g.changefeed = &changefeed.Server{Source: g.watcher}
 	g.registration = &registration{
 		registry: g.client, member: g.directory.Self, log: g.Log, confirmed: g.registered, ready: g.Ready,
@@ -204,9 +200,6 @@
 	k.Go("follow", g.watcher.Run)
 	k.Go("presence", g.registration.run)
 	k.Go("sweep", func(ctx context.Context) error { return kernel.Every(ctx, _sweepInterval, g.sweep) })
-	k.Go("probes", func(ctx context.Context) error {
-		return kernel.Every(ctx, _probeTick, func(now time.Time) { g.forward.ProbeCold(ctx, now) })
-	})
 	serve(k, listeners[2], g.readiness())
 	serve(k, listeners[3], g.resolver())
 	if address := g.Settings.Admin.Listen; address != "" {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -104,17 +104,3 @@
 	}
 	return true
 }
-
-// probeRank returns the place of this instance in the order in which those of the region ask a
-// worker how it is.
-func (g *Gateway) probeRank(id string) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	self, rank := xxhash.Sum64String(id+"/"+g.Settings.Instance), 0
-	for _, m := range g.directory.ServingNeighbours() {
-		if m.Name != g.Settings.Instance && xxhash.Sum64String(id+"/"+m.Name) > self {
-			rank++
-		}
-	}
-	return rank
-}
--- a/permit/message.go
+++ b/permit/message.go
@@ -13,7 +13,7 @@
 const MaxLeaving = 16
 
 // Message is what instances send each other. Exactly one of Ask, Reply, Limits, Hello,
-// Leaving, Cold and Suspects is set.
+// Leaving and Suspects is set.
 type Message struct {
 	From string `json:"from"`
 	// Number identifies a question; its answer repeats it. 0 expects no answer but that
@@ -26,8 +26,6 @@
 	Hello bool `json:"hello,omitempty"`
 	// Leaving are workers that said that they leave, which get no permits any more.
 	Leaving []worker.Leaving `json:"leaving,omitempty"`
-	// Cold are the cold times that workers told.
-	Cold []worker.Cold `json:"cold,omitempty"`
 	// Suspects are news of requests that may end workers.
 	Suspects *suspect.News `json:"suspects,omitempty"`
 }
@@ -66,7 +64,7 @@
 
 // Decode decodes a message. ok is false if it is malformed.
 func Decode(data []byte) (m Message, ok bool) {
-	if json.Unmarshal(data, &m) != nil || m.From == "" || len(m.Limits) > _maxNotices || max(len(m.Leaving), len(m.Cold)) > MaxLeaving {
+	if json.Unmarshal(data, &m) != nil || m.From == "" || len(m.Limits) > _maxNotices || len(m.Leaving) > MaxLeaving {
 		return Message{}, false
 	}
 	for _, n := range m.Limits {
@@ -82,11 +80,6 @@
 			return Message{}, false
 		}
 	}
-	for _, c := range m.Cold {
-		if c.Worker == "" || c.LeftMs < 0 || c.LeftMs > _maxAge.Milliseconds() || c.AgeMs < 0 || c.AgeMs > _maxAge.Milliseconds() {
-			return Message{}, false
-		}
-	}
 	switch {
 	case m.Ask != nil:
 		return m, m.Ask.valid() && m.Ask.Want >= 0 && m.Ask.Demand >= 0
--- a/permitfeed/permitfeed.go
+++ b/permitfeed/permitfeed.go
@@ -66,8 +66,6 @@
 	SaidLeaving(limit int) []worker.Leaving
 	// AdoptLeaving records what an instance was told by a worker.
 	AdoptLeaving(from string, l worker.Leaving)
-	// AdoptCold records what a worker told an instance of its cold time.
-	AdoptCold(from string, news worker.Cold)
 	// AdoptSuspects records what an instance found out about requests.
 	AdoptSuspects(from string, news suspect.News)
 }
@@ -109,11 +107,6 @@
 	f.enqueue(envelope{recipients: f.Neighbours, message: permit.Message{From: f.Book.Self, Leaving: []worker.Leaving{l}}})
 }
 
-// TellCold queues for all neighbours what a worker told of its cold time. It does not block.
-func (f *Feed) TellCold(news worker.Cold) {
-	f.enqueue(envelope{recipients: f.Neighbours, message: permit.Message{From: f.Book.Self, Cold: []worker.Cold{news}}})
-}
-
 // TellSuspects queues news for all instances that serve callers. It does not block.
 func (f *Feed) TellSuspects(news suspect.News) {
 	f.enqueue(envelope{recipients: f.Fleet, message: permit.Message{From: f.Book.Self, Suspects: &news}})
@@ -142,7 +135,7 @@
 		return
 	}
 	_received.Inc()
-	if len(m.Leaving) > 0 || len(m.Cold) > 0 || m.Suspects != nil {
+	if len(m.Leaving) > 0 || m.Suspects != nil {
 		f.adopt(m)
 		return
 	}
@@ -172,9 +165,6 @@
 	for _, l := range m.Leaving {
 		f.Workers.AdoptLeaving(m.From, l)
 	}
-	for _, c := range m.Cold {
-		f.Workers.AdoptCold(m.From, c)
-	}
 	if m.Suspects != nil {
 		f.Workers.AdoptSuspects(m.From, *m.Suspects)
 	}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -242,29 +242,7 @@
 	return []byte(strings.Repeat(unit, n/_bodyUnitBytes+1)[:n])
 }
 
-// _healthPath is the path at which a worker tells how it is, in the configurations of Configure.
-const _healthPath = "/health"
-
-// answerHealth answers a probe.
-func (b *Backend) answerHealth(w http.ResponseWriter, r *http.Request) {
-	b.mu.Lock()
-	left := max(time.Until(b.coldUntil), 0)
-	b.mu.Unlock()
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	w.Header().Set("X-Instance-Id", b.ID)
-	w.Header().Set("X-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != b.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 func (b *Backend) handle(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == _healthPath {
-		b.answerHealth(w, r)
-		return
-	}
 	id := r.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -67,7 +67,7 @@
 	)
 	serviceTable := table{Columns: []string{"name", "health_path", "max_conns", "protocol", "tls", "cold_start_s", "cold_per_s"}}
 	for _, name := range services {
-		serviceTable.Rows = append(serviceTable.Rows, []any{name, _healthPath, connections, "h1", false, coldSeconds, coldRate})
+		serviceTable.Rows = append(serviceTable.Rows, []any{name, "/health", connections, "h1", false, coldSeconds, coldRate})
 	}
 	config, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("%08x", version), "routes": routeTable, "services": serviceTable,
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -59,15 +59,8 @@
 	Revision store.Revision
 	// LastUpdate is when the last update arrived.
 	LastUpdate time.Time
-	// ColdUntil is when the worker stops being cold. HeardAt is when an entry or the worker
-	// said so, RepeatedAt when an entry arrived that the worker had written before.
-	ColdUntil  time.Time
-	HeardAt    time.Time
-	RepeatedAt time.Time
-	// ColdUnknown is set if the worker may have become cold since then, and doesn't tell.
-	ColdUnknown bool
-	// UsedAt is when this instance had a request for the worker last.
-	UsedAt time.Time
+	// ColdUntil is when the worker stops being cold.
+	ColdUntil time.Time
 	// ExpiresAt is when a tentative deletion becomes final; zero if the entry
 	// exists.
 	ExpiresAt time.Time
@@ -78,16 +71,6 @@
 	SaidLeavingAt time.Time
 }
 
-// Cold is what a worker told an instance of its cold time.
-type Cold struct {
-	Worker string `json:"worker"`
-	// Born is the start of the known incarnation in Unix milliseconds.
-	Born int64 `json:"born"`
-	// LeftMs is how long the worker stays cold, from AgeMs ago on.
-	LeftMs int64 `json:"leftMs"`
-	AgeMs  int64 `json:"ageMs"`
-}
-
 // Leaving names an incarnation of a worker that said in an answer that it leaves.
 type Leaving struct {
 	Worker string `json:"worker"`
@@ -108,9 +91,9 @@
 	return revision.Era() != w.Revision.Era() && (e.Born > w.Born || e.Born == w.Born && e.Heartbeat > w.Heartbeat)
 }
 
-// Cold reports whether the worker is cold, or may be for all that is known.
+// Cold reports whether the worker is cold.
 func (w *Worker) Cold(now time.Time) bool {
-	return now.Before(w.ColdUntil) || w.ColdUnknown
+	return now.Before(w.ColdUntil)
 }
 
 // Registry holds all known workers. It is not safe for concurrent use.
@@ -205,7 +188,7 @@
 // start replaces the state of a worker by that of a new incarnation, or of the same one at
 // another address.
 func (r *Registry) start(now time.Time, old *Worker, e Entry, revision store.Revision) {
-	w := &Worker{Entry: e, Revision: revision, LastUpdate: now, ColdUntil: now.Add(e.ColdLeft), HeardAt: now}
+	w := &Worker{Entry: e, Revision: revision, LastUpdate: now, ColdUntil: now.Add(e.ColdLeft)}
 	if old != nil {
 		if old.isIncarnationOf(e) {
 			w.SaidLeavingAt = old.SaidLeavingAt
@@ -229,14 +212,8 @@
 	warmedUp := e.ColdLeft == 0 && w.ColdLeft > 0
 	changed := e.Leaving != w.Leaving || e.Slots != w.Slots || e.Zone != w.Zone || !w.ExpiresAt.IsZero() || warmedUp ||
 		now.Add(e.ColdLeft).Sub(coldUntil) > _coldTolerance && e.ColdLeft > 0
-	// A store that was restored from a copy gives an entry again that it gave before.
-	again := e.Heartbeat != 0 && e.Heartbeat <= w.Heartbeat
 	w.Entry, w.Revision, w.LastUpdate, w.ExpiresAt = e, revision, now, time.Time{}
-	if again {
-		w.RepeatedAt = now
-	} else {
-		w.ColdUntil, w.HeardAt, w.ColdUnknown = now.Add(e.ColdLeft), now, false
-	}
+	w.ColdUntil = now.Add(e.ColdLeft)
 	switch {
 	case e.Leaving && !wasLeaving:
 		r.notify(w, "leaving")
@@ -246,18 +223,6 @@
 	return changed
 }
 
-// HearCold records that an incarnation of a worker said at a time that it stays cold for left.
-// It reports whether that makes the worker cold.
-func (r *Registry) HearCold(at time.Time, id string, born int64, left time.Duration) bool {
-	w := r.byID[id]
-	if w == nil || w.Born != born || !at.After(w.HeardAt) {
-		return false
-	}
-	wasCold := at.Before(w.ColdUntil)
-	w.ColdUntil, w.HeardAt, w.ColdUnknown = at.Add(left), at, false
-	return left > 0 && !wasCold
-}
-
 // Delete applies the removal of an entry at a revision. A removal of an earlier era of the
 // store than that of the entry is given only if it is newer.
 func (r *Registry) Delete(id string, revision store.Revision) {
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -151,22 +151,3 @@
 	r.Put(now, entry("leaves", 11, false), store.RevisionOf(1, 90))
 	assert.True(t, r.Get("leaves").Leaving)
 }
-
-// TestColdTimeFromTheWorker has a worker tell its cold time, and a copy of the store give an
-// entry again that is from before.
-func TestColdTimeFromTheWorker(t *testing.T) {
-	r := worker.NewRegistry()
-	at := func(s int) time.Time { return _start.Add(time.Duration(s) * time.Second) }
-	r.Put(_start, entry("i", 1), 10)
-	assert.False(t, r.HearCold(at(1), "i", 99, 5*time.Second), "an earlier incarnation")
-	assert.True(t, r.HearCold(at(1), "i", 100, 5*time.Second))
-	assert.False(t, r.HearCold(_start, "i", 100, 0), "said before")
-	r.Put(at(2), entry("i", 1), 11)
-	assert.True(t, r.Get("i").Cold(at(2)), "the same entry again")
-	r.Put(at(3), entry("i", 2), 12)
-	assert.False(t, r.Get("i").Cold(at(3)), "the next entry")
-	r.Get("i").ColdUnknown = true
-	assert.True(t, r.Get("i").Cold(at(3)))
-	r.HearCold(at(4), "i", 100, 0)
-	assert.False(t, r.Get("i").Cold(at(4)))
-}
