--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -157,7 +157,7 @@
 	r.Subnet = claimed.subnet
 	defer claimed.release()
 	defer r.close()
-	if err := r.start(); err != nil {
+	if err = r.start(); err != nil {
 		return Result{}, err
 	}
 	r.play(ctx)
