--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -36,6 +36,7 @@
 func TestQuotaIsKeptAndUsed(t *testing.T) {
 	for _, n := range []int{9, 82, 295, 540} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
 			m := newModel(uint64(n), n, append(smallTeams(), _large)...)
 			m.play(_warmUp)
 			load := func(times float64) {
@@ -287,6 +288,7 @@
 	for _, f := range faults {
 		for seed := range uint64(1) {
 			t.Run(fmt.Sprint(f.name, "/", seed), func(t *testing.T) {
+				t.Parallel()
 				m := newModel(seed, 82, _small, _large)
 				m.play(_warmUp)
 				m.hot()
