--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Plays the case of claim.txt. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case
+# could not run. TROUBLE=0 plays it without the disruption.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x target/wigeonlock ] && [ -x target/review2/rig2 ] || { echo "build first: deploy/system.toml, review/build-2.sh" >&2; exit 2; }
+exec timeout -k 5 110 target/review2/rig2 pause target/wigeonlock "$here/record.txt"
