--- a/review/rig2/lib.go
+++ b/review/rig2/lib.go
@@ -245,6 +245,8 @@
 	header http.Header
 	body   []byte
 	err    error
+	// closes is set if the connection ends after the answer.
+	closes bool
 }
 
 // call sends one request on a new connection and reads the answer.
@@ -286,5 +288,5 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: data, err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: data, err: err, closes: resp.Close}
 }
--- a/review/rig2/refused.go
+++ b/review/rig2/refused.go
@@ -96,7 +96,7 @@
 				id := fmt.Sprintf("order-%d-%d", n, attempt)
 				a := r.exchange(c, in, http.MethodPost, host, fmt.Sprintf("/order/%d", n), id, []byte("gloves"), 2*time.Second)
 				o.attempts, o.answers = append(o.attempts, id), append(o.answers, a.status)
-				if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests || a.header.Get("Connection") == "close" {
+				if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests || a.closes {
 					return
 				}
 				time.Sleep(100 * time.Millisecond)
