--- a/review/rig2/foreign.go
+++ b/review/rig2/foreign.go
@@ -54,7 +54,6 @@
 	if err := r.startAll(); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
 	if trouble {
 		time.AfterFunc(2*time.Second, func() {
 			// Once, right after the worker has written its entry: it writes the next one 1.5 s later.
--- a/review/rig2/lib.go
+++ b/review/rig2/lib.go
@@ -18,7 +18,6 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,24 +40,10 @@
 	// subnet is the beginning of the loopback addresses of the instances.
 	subnet string
 
-	storeDown atomic.Bool
-
 	mu     sync.Mutex
 	record *os.File
 }
 
-// takeStoreDown takes the store down for a while: it resets all calls.
-func (r *rig) takeStoreDown(d time.Duration) {
-	r.logf("the store is down")
-	r.storeDown.Store(true)
-	r.store.SetMode(standin.KVReset)
-	time.AfterFunc(d, func() {
-		r.store.SetMode(standin.KVServes)
-		r.storeDown.Store(false)
-		r.logf("the store is back")
-	})
-}
-
 // newRig returns a rig that writes its record to a file.
 func newRig(binary, record string, zones []zone) (*rig, error) {
 	dir, err := os.MkdirTemp("", "rig2-")
@@ -226,7 +211,11 @@
 	return false
 }
 
-// startAll starts all instances and waits until they are ready.
+// _lead is the time from the start of the instances to the first request: longer than contact_ms,
+// so that the start excuses nothing.
+const _lead = 10 * time.Second
+
+// startAll starts all instances, waits until they are ready, and until _lead has passed.
 func (r *rig) startAll() error {
 	for _, e := range r.entries {
 		if err := e.start(); err != nil {
@@ -238,6 +227,7 @@
 			return fmt.Errorf("%s is not ready", e.name)
 		}
 	}
+	time.Sleep(time.Until(r.began.Add(_lead)))
 	return nil
 }
 
--- a/review/rig2/linger.go
+++ b/review/rig2/linger.go
@@ -20,6 +20,8 @@
 const (
 	// _guideBytes is the size of a download, the largest of its kind.
 	_guideBytes = 540_000
+	// _guideTime is the deadline of a download.
+	_guideTime = 5 * time.Second
 	// _secondAt is when a caller sends its second request, _readAt when it begins to read, after
 	// its first request.
 	_secondAt = 1200 * time.Millisecond
@@ -55,16 +57,18 @@
 	if err := r.startAll(); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
 	const callers = 4
 	e := r.entries[0]
 	var wg sync.WaitGroup
 	var answers [callers]answer
+	var took [callers]time.Duration
 	for n := range callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			began := time.Now()
 			answers[n] = r.slowDownload(e.address(), host, n)
+			took[n] = time.Since(began)
 		}()
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -82,10 +86,11 @@
 	for n, a := range answers {
 		id := fmt.Sprintf("guide-%d-1", n)
 		whole := a.err == nil && (a.status != http.StatusOK || len(a.body) == _guideBytes)
-		if ran[id] && !whole {
+		// Not counted: the deadline was reached.
+		if ran[id] && !whole && took[n] < _guideTime {
 			lost++
 		}
-		r.logf("%s: status %d, %d of %d bytes, error %v", id, a.status, len(a.body), _guideBytes, a.err)
+		r.logf("%s: status %d, %d of %d bytes, error %v, after %.1f s", id, a.status, len(a.body), _guideBytes, a.err, took[n].Seconds())
 	}
 	r.logf("%d of %d downloads that were passed on ended without their complete answer", lost, callers)
 	return lost > 0, nil
@@ -107,7 +112,7 @@
 	send := func(k int) error {
 		id := fmt.Sprintf("guide-%d-%d", n, k)
 		r.logf("sent %s GET /guide/%d", id, n)
-		_, err := io.WriteString(c, requestHead(http.MethodGet, host, fmt.Sprintf("/guide/%d", n), id, 5*time.Second)+"\r\n")
+		_, err := io.WriteString(c, requestHead(http.MethodGet, host, fmt.Sprintf("/guide/%d", n), id, _guideTime)+"\r\n")
 		return err
 	}
 	if err := send(1); err != nil {
--- a/review/rig2/refused.go
+++ b/review/rig2/refused.go
@@ -3,9 +3,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -19,6 +17,8 @@
 	// _greyTime is how long the worker fails requests, _greyShare the part of them that it fails.
 	_greyTime  = 6500 * time.Millisecond
 	_greyShare = 0.45
+	// _orderTime is how long a caller waits for an order.
+	_orderTime = 2 * time.Second
 )
 
 // refusedCase has one worker of eight fail a part of the orders that it ran with a 503 of its
@@ -49,7 +49,6 @@
 	if err := r.startAll(); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
 
 	var mu sync.Mutex
 	greyFrom := r.began.Add(time.Hour)
@@ -85,18 +84,14 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c, err := net.DialTimeout("tcp", r.entries[n%3].address(), time.Second)
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-			in := bufio.NewReader(c)
+			began := time.Now()
 			for attempt := range 2 {
+				// Each attempt has an ID and a connection of its own, and what is left of the time.
+				left := _orderTime - time.Since(began)
 				id := fmt.Sprintf("order-%d-%d", n, attempt)
-				a := r.exchange(c, in, http.MethodPost, host, fmt.Sprintf("/order/%d", n), id, []byte("gloves"), 2*time.Second)
+				a := r.call(r.entries[n%3].address(), http.MethodPost, host, fmt.Sprintf("/order/%d", n), id, []byte("gloves"), left)
 				o.attempts, o.answers = append(o.attempts, id), append(o.answers, a.status)
-				if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests || a.closes {
+				if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
 					return
 				}
 				time.Sleep(100 * time.Millisecond)
--- a/review/rig2/slowread.go
+++ b/review/rig2/slowread.go
@@ -23,6 +23,9 @@
 	_readPause = 2500 * time.Millisecond
 	// _photoBytes is the size of an upload, below the largest of its kind.
 	_photoBytes = 300_000
+	// _photoTime is the deadline of an upload, _grace is grace_s.
+	_photoTime = 4 * time.Second
+	_grace     = 6 * time.Second
 )
 
 // slowReadCase stops the only instance of a zone while uploads run. The worker begins to work on
@@ -44,7 +47,7 @@
 	}}, []string{"sheet-store"}, 6)
 	var mu sync.Mutex
 	paused := make(map[string]time.Time)
-	broken := make(map[string]error)
+	brokenAt := make(map[string]time.Time)
 	for i, z := range []zone{zones[0], zones[0], zones[1], zones[1]} {
 		w, err := r.addWorker(fmt.Sprintf("i-%d", i), "sheet-store", z.name, 6, 300*time.Millisecond)
 		if err != nil {
@@ -69,7 +72,7 @@
 			rest, err := io.ReadAll(req.Body)
 			if err != nil {
 				mu.Lock()
-				broken[id] = err
+				brokenAt[id] = time.Now()
 				mu.Unlock()
 				r.logf("%s lost the rest of %s after %d bytes: %v", w.id, id, len(first)+len(rest), err)
 			}
@@ -84,11 +87,11 @@
 	if err := r.startAll(); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
 
 	const uploads = 6
 	var answers [uploads]answer
 	var took [uploads]time.Duration
+	var endedAt [uploads]time.Time
 	body := make([]byte, _photoBytes)
 	e := r.entries[0]
 	var wg sync.WaitGroup
@@ -97,8 +100,9 @@
 		go func() {
 			defer wg.Done()
 			began := time.Now()
-			answers[n] = r.call(e.address(), http.MethodPost, host, fmt.Sprintf("/photos/%d", n), fmt.Sprintf("photo-%d", n), body, 4*time.Second)
-			took[n] = time.Since(began)
+			answers[n] = r.call(e.address(), http.MethodPost, host, fmt.Sprintf("/photos/%d", n), fmt.Sprintf("photo-%d", n), body, _photoTime)
+			endedAt[n] = time.Now()
+			took[n] = endedAt[n].Sub(began)
 		}()
 	}
 	time.Sleep(300 * time.Millisecond)
@@ -108,13 +112,22 @@
 	if begun < uploads {
 		return false, fmt.Errorf("workers began %d of %d uploads", begun, uploads)
 	}
+	stopped := time.Now()
 	e.signal(syscall.SIGTERM)
 	wg.Wait()
+	// The workers find out that the rest of a body does not come.
+	time.Sleep(_readPause)
 	lost := 0
 	for n, a := range answers {
 		id := fmt.Sprintf("photo-%d", n)
 		stamp := a.header.Get(standin.StampHeader)
-		if stamp == "" {
+		mu.Lock()
+		workerLostAt, cut := brokenAt[id]
+		mu.Unlock()
+		// Not counted: the worker broke off first, the deadline was reached, or the worker was still at
+		// work in the last sixth of the grace.
+		excused := cut && workerLostAt.Before(endedAt[n]) || took[n] >= _photoTime || endedAt[n].Sub(stopped) >= _grace*5/6
+		if stamp == "" && !excused {
 			lost++
 		}
 		r.logf("%s: status %d, stamp %q, error %v, after %.1f s: %s", id, a.status, stamp, a.err, took[n].Seconds(), short(a.body, stamp))
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -42,9 +42,6 @@
 	runs    []run
 	// read, if set, reads the body of a request.
 	read func(req *http.Request, in *bufio.Reader) ([]byte, error)
-	// refuse, if set, returns further headers of the refusal of a request, or nothing if it is not
-	// refused. It sees each request that reaches the worker.
-	refuse func(req *http.Request) string
 	// decide, if set, returns how a request is answered after it ran.
 	decide func(r run) (status int, size int, extra string)
 }
@@ -94,11 +91,8 @@
 	_ = b.listener.Close()
 }
 
-// beat writes the entry of the worker, unless the store is down.
+// beat writes the entry of the worker.
 func (b *backend) beat() {
-	if b.rig.storeDown.Load() {
-		return
-	}
 	b.entry.Register(b.rig.store, "ready")
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -142,11 +136,6 @@
 // handle answers a request and reports whether the connection stays open.
 func (b *backend) handle(c net.Conn, req *http.Request, body []byte) bool {
 	id := req.Header.Get(_names.RequestID)
-	if b.refuse != nil {
-		if extra := b.refuse(req); extra != "" {
-			return write(c, http.StatusServiceUnavailable, fields(_names.RequestID, id, _names.NotRun, "1")+extra, nil)
-		}
-	}
 	if req.URL.Path == "/health" {
 		return write(c, http.StatusOK, fields(_names.RequestID, id, _names.Self, b.id, _names.Cold, "0"), nil)
 	}
