--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/wigeonlock ] && [ -x target/review2/rig2 ] || { echo "build first: deploy/system.toml, review/build-2.sh" >&2; exit 2; }
-exec timeout -k 5 110 target/review2/rig2 pause target/wigeonlock "$here/record.txt"
+exec target/review2/rig2 crossing target/wigeonlock "$here/record.txt"
