frontend: count and log answers that are dropped behind a close

An answer that could not be written because an earlier answer had closed the connection vanished without a trace, so that logs could not tell whether its request was read before or after that.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -46,8 +46,10 @@
 	pending atomic.Int32
 	unsent  atomic.Int64
 	slots   chan struct{}
-	// closing is set once an answer closed the connection.
-	closing atomic.Bool
+	// closing is set once an answer closed the connection, and closedAt is when, as Unix time in
+	// nanoseconds.
+	closing  atomic.Bool
+	closedAt atomic.Int64
 	// idleSince is when the last answer was written, as Unix time in nanoseconds.
 	idleSince atomic.Int64
 
--- a/frontend/write.go
+++ b/frontend/write.go
@@ -7,8 +7,11 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/relay"
+	"github.com/wigeonlock/wigeonlock/retry"
 )
 
 // errorAnswer returns the answer to an invalid request.
@@ -47,11 +50,13 @@
 func (c *conn) write(r *relay.Request, a *relay.Answer, last bool) {
 	defer a.Close()
 	if c.closing.Load() || c.ctx.Err() != nil {
+		c.dropped(r, a)
 		return
 	}
 	// An answer must not close the connection while further requests are pending.
 	closeAfter := last || c.server.closeAfterAnswer.Load() && c.pending.Load() <= 1
 	if closeAfter {
+		c.closedAt.Store(time.Now().UnixNano())
 		c.closing.Store(true)
 		c.stopReading()
 	}
@@ -75,6 +80,21 @@
 	}
 }
 
+// dropped records an answer that is not written, because an earlier answer closed the connection
+// or the caller left.
+func (c *conn) dropped(r *relay.Request, a *relay.Answer) {
+	closedAt := c.closedAt.Load()
+	if closedAt == 0 {
+		_droppedCallerLeft.Inc()
+		return
+	}
+	_droppedClosed.Inc()
+	if c.server.Log != nil && r != nil && a.Outcome != retry.NotRun {
+		c.server.Log.Warn("answer dropped: an earlier answer had closed the connection", zap.String("request", r.ID),
+			zap.String("outcome", string(a.Outcome)), zap.Int64("readAfterCloseUs", r.Received.Sub(time.Unix(0, closedAt)).Microseconds()))
+	}
+}
+
 // writeLarge writes the rest of an answer. It gives up on a caller that takes nothing for
 // _shortStall while memory is short, and on any other after _writeTimeout.
 func (c *conn) writeLarge(data []byte, r *relay.Request) bool {
