frontend: a request that crosses a close is not passed on

Cause: a request was counted as pending after it was read, without regard to the decision of an answer to close the connection.

Change: admission of a request and the decision to close exclude each other under the connection's lock, so that a request is either answered or not passed on. 100 Continue is not written behind a closing answer any more.

--- a/frontend/body.go
+++ b/frontend/body.go
@@ -39,6 +39,10 @@
 	}
 	if req.Header.Get("Expect") != "" {
 		<-previous
+		if c.closing.Load() {
+			room.Release()
+			return nil, nil
+		}
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			room.Release()
 			return nil, nil
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -53,6 +53,7 @@
 	// idleSince is when the last answer was written, as Unix time in nanoseconds.
 	idleSince atomic.Int64
 
+	// mu also excludes admit and closesAfter from each other.
 	mu      sync.Mutex
 	stopped bool
 	// awaiting is set while the connection waits for the first byte of a request, until
@@ -169,6 +170,14 @@
 			disconnected = !c.isStopped()
 			break
 		}
+		if !c.admit() {
+			// It arrived with the answer that closed the connection: the caller takes it for unread.
+			if r != nil {
+				dropBody(r)
+			}
+			_crossed.Inc()
+			break
+		}
 		previous = c.serveRequest(r, reqErr, previous)
 		if reqErr != nil || r.CloseConn {
 			break
@@ -183,6 +192,34 @@
 	c.linger()
 }
 
+// admit counts a request that was read as pending, so that no earlier answer closes the
+// connection. It returns false if one has.
+func (c *conn) admit() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing.Load() {
+		return false
+	}
+	c.pending.Add(1)
+	return true
+}
+
+// closesAfter decides whether the connection closes after an answer, and stops the reading of
+// requests if it does. last is set if it must close.
+func (c *conn) closesAfter(last bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// An answer must not close the connection while further requests are pending.
+	if !last && (!c.server.closeAfterAnswer.Load() || c.pending.Load() > 1) {
+		return false
+	}
+	c.closedAt.Store(time.Now().UnixNano())
+	c.closing.Store(true)
+	c.stopped = true
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // awaitAnswers waits until the requests that were read are answered. If the caller disconnects
 // before, they are cancelled. What it sends meanwhile is dropped: no further request is
 // accepted on the connection.
@@ -355,13 +392,12 @@
 	return name == n.RequestID || name == n.TimeLeft || name == n.Key || name == n.Team
 }
 
-// serveRequest serves a request in a goroutine. It blocks while _maxPipelined
+// serveRequest serves an admitted request in a goroutine. It blocks while _maxPipelined
 // requests are being served. previous is closed once the request before is
 // answered, the returned channel once r is answered.
 func (c *conn) serveRequest(r *relay.Request, reqErr *requestError, previous <-chan struct{}) chan struct{} {
 	_requests.Inc()
 	done := make(chan struct{})
-	c.pending.Add(1)
 	c.takeSlot()
 	go func() {
 		defer func() {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -123,6 +123,8 @@
 	_requests    = metrics.NewCounter("wigeonlock_caller_requests_total")
 	_panics      = metrics.NewCounter("wigeonlock_request_panics_total")
 	_disconnects = metrics.NewCounter("wigeonlock_callers_left_total")
+	// _crossed counts requests that arrived with the answer that closed their connection.
+	_crossed = metrics.NewCounter("wigeonlock_requests_behind_close_total")
 
 	_droppedCallerLeft = metrics.NewCounter(`wigeonlock_answers_dropped_total{cause="callerLeft"}`)
 	_droppedClosed     = metrics.NewCounter(`wigeonlock_answers_dropped_total{cause="closed"}`)
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -73,7 +73,7 @@
 	return append([]string(nil), h.started...), append([]string(nil), h.cancelled...)
 }
 
-func start(t *testing.T, h *handler, limits frontend.Limits) (*frontend.Server, string) {
+func start(t *testing.T, h frontend.Handler, limits frontend.Limits) (*frontend.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/frontend/write.go
+++ b/frontend/write.go
@@ -53,13 +53,7 @@
 		c.dropped(r, a)
 		return
 	}
-	// An answer must not close the connection while further requests are pending.
-	closeAfter := last || c.server.closeAfterAnswer.Load() && c.pending.Load() <= 1
-	if closeAfter {
-		c.closedAt.Store(time.Now().UnixNano())
-		c.closing.Store(true)
-		c.stopReading()
-	}
+	closeAfter := c.closesAfter(last)
 	data, _ := relay.Bytes(a)
 	head := make([]byte, 0, 512+singleWriteSize(data))
 	head = appendHead(head, r, a, data, closeAfter)
