forward: a status that promises not run is not passed on for a request that ran

Cause: only the header of a refusal states that a request did not run; any other answer was passed on with its status, whatever that promises.

Change: 408, 421, 429 and 503 without that statement become a 502 of the instance without stamp, which promises nothing. A repeatable request is first tried once more within its attempts and the retry budget. A 421 with the stamp of a worker that ran the request no longer counts as one of another worker.

--- a/backend/http/http_test.go
+++ b/backend/http/http_test.go
@@ -173,3 +173,16 @@
 		}
 	}
 }
+
+// TestStatusAloneIsNoRefusal guards against payments that run twice: a worker that does not say
+// that it refused has run the request, whatever its status promises.
+func TestStatusAloneIsNoRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		w := workerOf(t, func(_ int, r *http.Request, _ net.Conn) string {
+			return fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, relay.HeaderRequestID, r.Header.Get(relay.HeaderRequestID))
+		})
+		a, _ := handle(t, &backendhttp.Transport{Connections: 1}, w, "one")
+		assert.Equal(t, retry.Run, a.Outcome, status)
+		assert.Equal(t, status, a.Status)
+	}
+}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -270,8 +270,17 @@
 	return id == r.ID
 }
 
+// notRun reports whether an answer states that the worker did not run the request. A status
+// alone states that only if another worker than the expected one answered.
 func (p *Pool) notRun(a *reply) bool {
-	return a.header.Get(p.HeaderNames.NotRun) != "" || a.status == http.StatusMisdirectedRequest
+	return a.header.Get(p.HeaderNames.NotRun) != "" || p.misdirected(a.status, a.header)
+}
+
+// misdirected reports whether an answer is that of another worker than the expected one. With a
+// stamp, it is that of a worker that ran the request.
+func (p *Pool) misdirected(status int, header http.Header) bool {
+	return status == http.StatusMisdirectedRequest &&
+		(header.Get(p.HeaderNames.Stamp) == "" || header.Get(p.HeaderNames.NotRun) != "")
 }
 
 // accept turns a complete answer into a result.
@@ -281,7 +290,7 @@
 	result.closing = a.closing
 	c.readKeepAlive(a.header)
 	switch {
-	case a.status == http.StatusMisdirectedRequest:
+	case p.misdirected(a.status, a.header):
 		// Another worker answered, whose load and limit are its own.
 		result.Load, result.Limit = nil, nil
 		result.Fault = Misdirected
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -80,6 +80,8 @@
 	Team string
 	// NotRun marks the answer of a worker that did not run the request.
 	NotRun string
+	// Stamp marks the answer of a worker that ran the request.
+	Stamp string
 	// Load is the load report of a worker: running, waiting and slots, separated
 	// by commas, and then possibly the time that work takes there, in percent of the usual.
 	Load string
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -22,7 +22,7 @@
 
 var _names = exchange.HeaderNames{
 	RequestID: "Id", TimeLeft: "Time-Left", Expect: "Expect-Worker", NotRun: "Not-Run", Load: "Load", Limit: "Limit",
-	Team: "Team",
+	Team: "Team", Stamp: "Stamp",
 }
 
 // worker answers each request with the bytes that a script returns; a nil answer
@@ -246,6 +246,23 @@
 	assert.Equal(t, 503, result.Answer.Status)
 }
 
+// TestStampedAnswerRan guards against an order that runs twice: its worker ran and stamped it, and
+// answered with the status of a worker that is not the one expected.
+func TestStampedAnswerRan(t *testing.T) {
+	w := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return []byte("HTTP/1.1 421 Other\r\nId: " + r.Header.Get("Id") + "\r\nStamp: i-1\r\nContent-Length: 0\r\n\r\n")
+	})
+	result := do(t, &exchange.Pool{HeaderNames: _names}, w, request("one"))
+	assert.Equal(t, retry.Run, result.Answer.Outcome)
+	assert.Equal(t, exchange.None, result.Fault)
+
+	w = startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte {
+		return []byte("HTTP/1.1 421 Other\r\nId: " + r.Header.Get("Id") + "\r\nStamp: i-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	result = do(t, &exchange.Pool{HeaderNames: _names}, w, request("one"))
+	assert.Equal(t, retry.NotRun, result.Answer.Outcome, "the worker states that it did not run the request")
+}
+
 func TestUnreachableDidNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -23,7 +23,7 @@
 // recordHead records what the head of an answer says of the worker. A head that names another
 // request is still one of the same worker if the connection proved to lead there.
 func (p *Pool) recordHead(c *conn, resp *http.Response, r *relay.Request, result *Result) {
-	if resp.StatusCode == http.StatusMisdirectedRequest {
+	if p.misdirected(resp.StatusCode, resp.Header) {
 		return
 	}
 	id := resp.Header.Get(p.HeaderNames.RequestID)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/placement"
+	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/retry"
 )
 
@@ -53,7 +54,7 @@
 	}
 	switch r.Fault {
 	case exchange.None:
-		if r.Answer.Status >= http.StatusInternalServerError {
+		if r.Answer.Status >= http.StatusInternalServerError || relay.PromisesNotRun(r.Answer.Status) {
 			report.Outcome = placement.Errored
 		}
 	case exchange.Unreachable:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -369,16 +369,19 @@
 }
 
 // finalAnswer returns the answer of the last attempt if it ends the request, or
-// nil. The first server error to a repeatable request, other than 504, is stored as
+// nil. The first failure of a worker to a repeatable request, other than 504, is stored as
 // failure, and the request is retried.
 func (s *Service) finalAnswer(rs *requestState) *relay.Answer {
 	a := rs.last.Answer
 	if a.Outcome != retry.Run {
 		return nil
 	}
-	retryable := a.Status >= http.StatusInternalServerError && a.Status != http.StatusGatewayTimeout &&
-		rs.route.Kind.Repeatable() && rs.failure == nil
-	if !retryable {
+	failed := a.Status >= http.StatusInternalServerError && a.Status != http.StatusGatewayTimeout
+	if relay.PromisesNotRun(a.Status) {
+		failed = true
+		a = s.unprovenRefusal(rs, a)
+	}
+	if !failed || !rs.route.Kind.Repeatable() || rs.failure != nil {
 		return a
 	}
 	rs.failure = a
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -51,7 +51,10 @@
 func (e *exchanger) CloseIdle(string) {}
 
 func ran(status int) exchange.Result {
-	a := &relay.Answer{Outcome: retry.Run, Reason: relay.Served, Status: status}
+	a := &relay.Answer{
+		Outcome: retry.Run, Reason: relay.Served, Status: status,
+		Header: []relay.Header{{Name: "Stamp", Value: "i-0"}, {Name: "Retry-After", Value: "1"}},
+	}
 	relay.SetBytes(a, []byte("body"))
 	return exchange.Result{Answer: a, Sent: true}
 }
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/frontend"
 	"github.com/wigeonlock/wigeonlock/placement"
@@ -40,7 +42,22 @@
 	if rs.last.Fault == exchange.TimedOut || reason == relay.DeadlinePassed {
 		status = http.StatusGatewayTimeout
 	}
-	a := frontend.Refusal(status, rs.last.Answer.Reason, "the request may have run")
+	return mayHaveRun(status, rs.last.Answer.Reason)
+}
+
+// unprovenRefusal returns the answer that replaces one of a worker whose status promises that the
+// request has not run, while nothing in it states that. The request may have run.
+func (s *Service) unprovenRefusal(rs *requestState, a *relay.Answer) *relay.Answer {
+	countRefusal(relay.UnprovenRefusal)
+	s.Log.Info("status of a worker promises what its answer does not state", zap.String("request", rs.request.ID),
+		zap.String("route", rs.route.Name), zap.String("worker", rs.tried[len(rs.tried)-1]), zap.Int("status", a.Status))
+	a.Close()
+	return mayHaveRun(http.StatusBadGateway, relay.UnprovenRefusal)
+}
+
+// mayHaveRun returns an answer of the instance itself to a request that may have run.
+func mayHaveRun(status int, reason relay.Reason) *relay.Answer {
+	a := frontend.Refusal(status, reason, "the request may have run")
 	a.Outcome = retry.Unknown
 	return a
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -97,8 +98,19 @@
 	TeamQuota          Reason = "teamQuota"
 	QuotaUnknown       Reason = "quotaUnknown"
 	NoMemory           Reason = "noMemory"
+	UnprovenRefusal    Reason = "unprovenRefusal"
 )
 
+// PromisesNotRun reports whether a status promises a caller that its request has not run and
+// never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Header is one header field.
 type Header struct {
 	Name  string
