exchange, backend/http: a broken head is no answer

A refusal with such a field was taken for the statement that the request did not run.

Cause: the parser of the standard library takes names with blanks, and joins lines that begin with a blank or a tab to the line before; nothing checked what it returned.

Change: relay.HeadChecker checks the bytes of a head as they arrive, interim heads too, for both pipelines. A broken head ends the exchange with an unknown outcome, and nothing it says counts. Trailers are checked once they are read.

--- a/backend/http/http.go
+++ b/backend/http/http.go
@@ -80,6 +80,9 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		sent.Store(true)
 		reused.Store(info.Reused)
+		if c, ok := info.Conn.(*conn); ok {
+			c.expectHead()
+		}
 	}}
 	req := newRequest(httptrace.WithClientTrace(exchangeCtx, trace), ctx, w, r)
 	resp, err := t.client(w.Address).RoundTrip(req)
@@ -109,7 +112,7 @@
 		cancel(nil)
 		return answer, result
 	}
-	answer.Body = newBody(answer.Body, answer.Length, cancel)
+	answer.Body = newBody(&trailedBody{ReadCloser: answer.Body, resp: resp}, answer.Length, cancel)
 	return answer, result
 }
 
@@ -160,14 +163,7 @@
 	}
 	dialer := &net.Dialer{Timeout: _dialTimeout, KeepAlive: _keepAlive, Control: socket.UserTimeout(_userTimeout)}
 	c := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			_dials.Inc()
-			c, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &socket.Conn{Conn: c}, nil
-		},
+		DialContext:            dialWorker(dialer),
 		MaxConnsPerHost:        t.Connections,
 		MaxIdleConnsPerHost:    t.Connections,
 		IdleConnTimeout:        _idleTimeout,
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/socket"
 )
 
@@ -42,7 +43,7 @@
 
 func newConn(nc net.Conn) *conn {
 	sc := &socket.Conn{Conn: nc}
-	limit := &limitedReader{r: sc, left: _unlimited}
+	limit := &limitedReader{r: sc, left: _unlimited, head: relay.HeadChecker{Answers: true}}
 	return &conn{
 		Conn: sc, limit: limit, reader: bufio.NewReaderSize(limit, _readBuffer), opened: time.Now(), idleLimit: _defaultIdle,
 	}
@@ -51,25 +52,41 @@
 // _unlimited is a number of bytes that no answer reaches.
 const _unlimited = 1 << 62
 
-// limitedReader limits the bytes that are read for the head of an answer.
+// limitedReader limits and checks the bytes that are read for the head of an answer.
 type limitedReader struct {
 	r    io.Reader
 	left int64
-	// exceeded is set once the limit was reached; the parser may hide the error.
-	exceeded bool
+	head relay.HeadChecker
+	// failed is errTooLarge or relay.ErrBrokenHead; the parser may hide the error.
+	failed error
 }
 
-// Read returns errTooLarge once the limit is reached.
+// Read returns errTooLarge once the limit is reached, and relay.ErrBrokenHead if the head is broken.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left <= 0 {
-		l.exceeded = true
-		return 0, errTooLarge
+		l.failed = errTooLarge
+		return 0, l.failed
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if broken := l.head.Check(p[:n]); broken != nil {
+		l.failed = broken
+		return 0, broken
+	}
 	return n, err
 }
 
+// expectHead starts the check of a head, of which the first bytes may have arrived.
+func (c *conn) expectHead() error {
+	c.limit.left = _maxHead
+	c.limit.head.Expect()
+	arrived, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.limit.head.Check(arrived)
+}
+
 func (c *conn) close() {
 	if c.open != nil && !c.closed.Swap(true) {
 		c.open.Add(-1)
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -222,12 +222,14 @@
 // readReply reads one complete answer. Interim (1xx) answers are skipped. What the head says
 // of the worker is recorded in result, also if the body breaks off.
 func (p *Pool) readReply(ctx context.Context, c *conn, r *relay.Request, result *Result) (*reply, error) {
-	c.limit.left = _maxHead
+	if err := c.expectHead(); err != nil {
+		return nil, err
+	}
 	interim := 0
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if c.limit.exceeded {
-			return nil, errTooLarge
+		if c.limit.failed != nil {
+			return nil, c.limit.failed
 		}
 		if err != nil {
 			return nil, err
@@ -248,6 +250,9 @@
 		if err == nil {
 			err = resp.Body.Close()
 		}
+		if err == nil {
+			err = relay.CheckTrailer(resp.Trailer)
+		}
 		// A body that was given up is not closed, as that would read the rest of it.
 		if err != nil {
 			return nil, err
@@ -373,6 +378,9 @@
 		result.Answer.Reason, result.Fault = relay.CallerDisconnected, CallerDisconnected
 	case ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout():
 		result.Answer.Reason, result.Fault = relay.WorkerSilent, TimedOut
+	case errors.Is(err, relay.ErrBrokenHead):
+		_brokenHeads.Inc()
+		result.Answer.Reason, result.Fault = relay.ForeignAnswer, InvalidAnswer
 	case errors.Is(err, errStray), errors.Is(err, errEncoded), errors.Is(err, errTooLarge), errors.Is(err, errStatus):
 		result.Answer.Reason, result.Fault = relay.ForeignAnswer, InvalidAnswer
 	}
