frontend: a request with a broken head is refused

Callers: a request whose head held 'Content-Length : 38' was served without its body, that line was passed on to the worker, and the body was read as the next request on the connection. A line continued from the one before did the same.

Change: relay.HeadChecker also checks the heads of requests; a broken one is answered with 400 and closes the connection.

Before: TestBrokenHeadIsNoRequest failed in 10 of 20 cases. After: it passes, and the package under the race detector.

--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -70,16 +70,18 @@
 	return c
 }
 
-// limitedReader limits the bytes that are read for a header.
+// limitedReader limits and checks the bytes that are read for a header.
 type limitedReader struct {
 	r    io.Reader
 	left int64 // bytes
+	head relay.HeadChecker
 	// err is the last error. The parser may hide it, as it may take a truncated line
 	// for a complete one.
 	err error
 }
 
-// Read returns errHeaderTooLarge once the limit is reached.
+// Read returns errHeaderTooLarge once the limit is reached, and relay.ErrBrokenHead if the header is
+// broken.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left <= 0 {
 		l.err = errHeaderTooLarge
@@ -87,6 +89,9 @@
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if broken := l.head.Check(p[:n]); broken != nil {
+		n, err = 0, broken
+	}
 	if err != nil {
 		l.err = err
 	}
@@ -301,6 +306,9 @@
 	c.setReadDeadline(time.Now().Add(limits.HeaderTime))
 	c.limit.left = int64(limits.HeaderBytes) + _readBuffer - int64(c.reader.Buffered())
 	c.limit.err = nil
+	if err := c.expectHead(); err != nil {
+		return nil, c.headError(err)
+	}
 	req, err := http.ReadRequest(c.reader)
 	c.limit.left = _unlimited
 	if err != nil {
@@ -319,6 +327,16 @@
 	return c.readBody(req, r, limits, previous)
 }
 
+// expectHead starts the check of a header, of which the first bytes have arrived.
+func (c *conn) expectHead() error {
+	c.limit.head.Expect()
+	arrived, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.limit.head.Check(arrived)
+}
+
 func (c *conn) headError(err error) *requestError {
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
