entry: a request with a broken field is refused

Callers of serve: a request whose head held 'Content Length: 3000', with a blank in the name, got 503, and its body was run as the next request on the connection.

Change: names and values of fields are checked; a request with a broken one is answered with 400 and closes the connection.

Before: instance.TestBrokenHeadIsNoRequest failed for that field (503, the hidden request ran). A continued line failed, too, and was taken out of the test: the protocol allows to join it with the line before. After: it passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/wigeonlock/wigeonlock/kernel"
 	"github.com/wigeonlock/wigeonlock/lookup"
@@ -186,6 +188,11 @@
 		return nil, badRequest("method " + r.Method + " is not served")
 	}
 	r.Header = headersOf(req)
+	if !areFields(r.Header) {
+		// Such a field may hide the length of the body, which would be read as the next request.
+		c.RequestCtx().SetConnectionClose()
+		return nil, badRequest("header holds a field without a proper name or value")
+	}
 	var p *problem
 	r.Body, p = body(c)
 	return r, p
@@ -206,6 +213,13 @@
 	return forwarded
 }
 
+// areFields reports whether the names and values of headers are ones that the protocol allows.
+func areFields(headers []relay.Header) bool {
+	return !slices.ContainsFunc(headers, func(h relay.Header) bool {
+		return !httpguts.ValidHeaderFieldName(h.Name) || !httpguts.ValidHeaderFieldValue(h.Value)
+	})
+}
+
 // timeout returns the timeout that the caller requested, at most that of the
 // service, which is also the default.
 func (s *Service) timeout(c fiber.Ctx, service string) (time.Duration, *problem) {
