relay: count broken heads once

Two packages registered the same metric since, so that the program panicked at its start: 'metric is already registered'.

--- a/backend/http/conn.go
+++ b/backend/http/conn.go
@@ -7,14 +7,10 @@
 	"net/http"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/wigeonlock/wigeonlock/relay"
 	"github.com/wigeonlock/wigeonlock/socket"
 )
 
-var _brokenHeads = metrics.NewCounter("wigeonlock_unusable_heads_total")
-
 // conn is a connection to a worker. Reads fail at a head that is broken.
 type conn struct {
 	socket.Conn
@@ -48,7 +44,6 @@
 	broken := c.head.Check(p[:n])
 	c.mu.Unlock()
 	if broken != nil {
-		_brokenHeads.Inc()
 		return 0, broken
 	}
 	return n, err
@@ -65,7 +60,6 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		if broken := relay.CheckTrailer(b.resp.Trailer); broken != nil {
-			_brokenHeads.Inc()
 			return n, broken
 		}
 	}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -378,10 +378,8 @@
 		result.Answer.Reason, result.Fault = relay.CallerDisconnected, CallerDisconnected
 	case ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout():
 		result.Answer.Reason, result.Fault = relay.WorkerSilent, TimedOut
-	case errors.Is(err, relay.ErrBrokenHead):
-		_brokenHeads.Inc()
-		result.Answer.Reason, result.Fault = relay.ForeignAnswer, InvalidAnswer
-	case errors.Is(err, errStray), errors.Is(err, errEncoded), errors.Is(err, errTooLarge), errors.Is(err, errStatus):
+	case errors.Is(err, errStray), errors.Is(err, errEncoded), errors.Is(err, errTooLarge), errors.Is(err, errStatus),
+		errors.Is(err, relay.ErrBrokenHead):
 		result.Answer.Reason, result.Fault = relay.ForeignAnswer, InvalidAnswer
 	}
 	return result
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -234,7 +234,6 @@
 	_badRests        = metrics.NewCounter("wigeonlock_unusable_rests_total")
 	_probes          = metrics.NewCounter("wigeonlock_probes_total")
 	_badStatuses     = metrics.NewCounter("wigeonlock_unusable_statuses_total")
-	_brokenHeads     = metrics.NewCounter("wigeonlock_unusable_heads_total")
 	_badLimits       = metrics.NewCounter("wigeonlock_unusable_limits_total")
 	_badLoads        = metrics.NewCounter("wigeonlock_unusable_loads_total")
 	_starved         = metrics.NewCounter("wigeonlock_worker_connections_denied_total")
--- a/relay/head.go
+++ b/relay/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 )
@@ -11,6 +12,9 @@
 // name, a line that continues the one before it, or a control byte.
 var ErrBrokenHead = errors.New("head is broken")
 
+// _brokenHeads counts the broken heads and trailers of answers.
+var _brokenHeads = metrics.NewCounter("wigeonlock_unusable_heads_total")
+
 // headPart is the part of a head that the next byte belongs to.
 type headPart string
 
@@ -69,6 +73,9 @@
 		}
 		if !ok {
 			h.part = _afterHead
+			if h.Answers {
+				_brokenHeads.Inc()
+			}
 			return ErrBrokenHead
 		}
 		p = p[n:]
@@ -150,10 +157,12 @@
 func CheckTrailer(fields map[string][]string) error {
 	for name, values := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
+			_brokenHeads.Inc()
 			return ErrBrokenHead
 		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
+				_brokenHeads.Inc()
 				return ErrBrokenHead
 			}
 		}
