exchange: an answer at the health path is limited to 64 KiB

Reported: a faulty worker sent bytes without end, and the machine that had called it ran out of memory. It can happen here: probes at the health path read up to 128 MB beside the memory that the process may hold for callers.

Before: TestEndlessHealthAnswers allocated 453 to 961 MB for 16 probes, allowed 16 MiB. After: it passes, and TestEndlessAnswersShareMemory, which shows that requests hold, passes before and after.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -30,9 +30,9 @@
 )
 
 // readBody reads the body of an answer. It fails with errTooLarge when the body exceeds
-// _maxBody or when there is no memory for it.
-func (p *Pool) readBody(ctx context.Context, resp *http.Response, r *relay.Request) ([]byte, error) {
-	if resp.ContentLength > _maxBody {
+// maxBody bytes or when there is no memory for it.
+func (p *Pool) readBody(ctx context.Context, resp *http.Response, r *relay.Request, maxBody int64) ([]byte, error) {
+	if resp.ContentLength > maxBody {
 		return nil, errTooLarge
 	}
 	room := r.AnswerRoom
@@ -57,16 +57,16 @@
 		}
 		return buf, nil
 	}
-	return readToEnd(ctx, resp.Body, room)
+	return readToEnd(ctx, resp.Body, room, maxBody)
 }
 
 // readToEnd reads a body whose length is unknown.
-func readToEnd(ctx context.Context, body io.Reader, room *bytebudget.Lease) ([]byte, error) {
+func readToEnd(ctx context.Context, body io.Reader, room *bytebudget.Lease, maxBody int64) ([]byte, error) {
 	buf := make([]byte, 0, _firstBody)
 	for {
 		if len(buf) == cap(buf) {
 			// The old buffer stays until the bytes are copied.
-			if len(buf) > _maxBody || !grow(ctx, room, int64(3*cap(buf))) {
+			if int64(len(buf)) > maxBody || !grow(ctx, room, int64(3*cap(buf))) {
 				return nil, errTooLarge
 			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -203,7 +203,7 @@
 // requests before it.
 func (p *Pool) receive(ctx context.Context, c *conn, r *relay.Request, result *Result) error {
 	for range _maxStray + 1 {
-		answer, err := p.readReply(ctx, c, r, result)
+		answer, err := p.readReply(ctx, c, r, result, _maxBody)
 		if err != nil {
 			return err
 		}
@@ -219,9 +219,9 @@
 	return errStray
 }
 
-// readReply reads one complete answer. Interim (1xx) answers are skipped. What the head says
-// of the worker is recorded in result, also if the body breaks off.
-func (p *Pool) readReply(ctx context.Context, c *conn, r *relay.Request, result *Result) (*reply, error) {
+// readReply reads one complete answer, with a body of up to maxBody bytes. Interim (1xx) answers
+// are skipped. What the head says of the worker is recorded in result, also if the body breaks off.
+func (p *Pool) readReply(ctx context.Context, c *conn, r *relay.Request, result *Result, maxBody int64) (*reply, error) {
 	if err := c.expectHead(); err != nil {
 		return nil, err
 	}
@@ -246,7 +246,7 @@
 			continue
 		}
 		c.limit.left = _unlimited
-		body, err := p.readBody(ctx, resp, r)
+		body, err := p.readBody(ctx, resp, r, maxBody)
 		if err == nil {
 			err = resp.Body.Close()
 		}
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/wigeonlock/wigeonlock/bytebudget"
 	"github.com/wigeonlock/wigeonlock/exchange"
 	"github.com/wigeonlock/wigeonlock/retry"
 )
@@ -203,3 +205,39 @@
 		}
 	}
 }
+
+// TestEndlessAnswersShareMemory has many workers answer without end at once, for requests that
+// bring room for their answer: together they hold no more than the memory of all answers, and the
+// answers to others are read meanwhile.
+func TestEndlessAnswersShareMemory(t *testing.T) {
+	const limit = 32 << 20
+	memory := bytebudget.New(limit, bytebudget.Shares{
+		Most: map[bytebudget.Use]float64{bytebudget.Answers: 0.8}, Free: 4 << 10, Small: 64 << 10, Reserve: 0.1,
+	})
+	endless := startWorker(t, func(_ int, _ *http.Request, c net.Conn) []byte {
+		_, err := c.Write([]byte("HTTP/1.1 200 OK\r\nId: one\r\n\r\n"))
+		for err == nil {
+			_, err = c.Write(make([]byte, 32<<10))
+		}
+		return nil
+	})
+	other := startWorker(t, func(_ int, r *http.Request, _ net.Conn) []byte { return ok(r.Header.Get("Id"), strings.Repeat("x", 3<<10)) })
+	p := &exchange.Pool{HeaderNames: _names}
+	send := func(w *worker, id string) exchange.Result {
+		r := request(id)
+		r.AnswerRoom = memory.Lease(bytebudget.Answers)
+		defer r.AnswerRoom.Release()
+		return do(t, p, w, r)
+	}
+	var wg sync.WaitGroup
+	for range 32 {
+		wg.Go(func() { assert.Equal(t, retry.Unknown, send(endless, "one").Answer.Outcome) })
+	}
+	for range 200 {
+		assert.Equal(t, retry.Run, send(other, "two").Answer.Outcome)
+	}
+	wg.Wait()
+	state := memory.State(bytebudget.Answers)
+	assert.LessOrEqual(t, state.Peak, int64(limit))
+	assert.Zero(t, state.Held, "all is given back")
+}
--- a/exchange/probe.go
+++ b/exchange/probe.go
@@ -14,6 +14,9 @@
 	"github.com/wigeonlock/wigeonlock/relay"
 )
 
+// _maxHealth is the maximum size of the body of an answer at the health path, in bytes.
+const _maxHealth = 64 << 10
+
 // _maxCold is the longest cold time that a worker may state; longer ones count as this.
 const _maxCold = time.Hour
 
@@ -51,7 +54,7 @@
 // readHealth reads the answer to a probe, and skips those to other requests before it.
 func (p *Pool) readHealth(ctx context.Context, c *conn, t Target, r *relay.Request, result *Result) (time.Duration, error) {
 	for range _maxStray + 1 {
-		a, err := p.readReply(ctx, c, r, result)
+		a, err := p.readReply(ctx, c, r, result, _maxHealth)
 		if err != nil {
 			return 0, err
 		}
--- a/exchange/probe_test.go
+++ b/exchange/probe_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -50,3 +54,41 @@
 		})
 	}
 }
+
+// TestEndlessHealthAnswers guards against a process that runs out of memory: workers in trouble
+// answered probes at their health path without end, and what arrived was kept.
+func TestEndlessHealthAnswers(t *testing.T) {
+	const probes = 16
+	for kind, start := range map[string]string{
+		"without a length": "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n",
+		"chunks":           "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"long":             "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 60000000\r\n\r\n",
+		"other answers":    "HTTP/1.1 200 OK\r\nId: x%s\r\nContent-Length: 60000000\r\n\r\n",
+	} {
+		t.Run(kind, func(t *testing.T) {
+			chunk := []byte("8000\r\n" + strings.Repeat("x", 32<<10) + "\r\n")
+			w := startWorker(t, func(_ int, r *http.Request, c net.Conn) []byte {
+				_, err := fmt.Fprintf(c, start, r.Header.Get("Id"))
+				for err == nil {
+					_, err = c.Write(chunk)
+				}
+				return nil
+			})
+			p := &exchange.Pool{HeaderNames: _names}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var wg sync.WaitGroup
+			for range probes {
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+					defer cancel()
+					_, err := p.Probe(ctx, w.target(), "/health")
+					assert.Error(t, err)
+				})
+			}
+			wg.Wait()
+			runtime.ReadMemStats(&after)
+			assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(probes<<20), "bytes allocated")
+		})
+	}
+}
