--- a/relay/head.go
+++ b/relay/head.go
@@ -57,8 +57,10 @@
 // Check checks the next bytes, up to the end of the head. It returns ErrBrokenHead once.
 func (h *HeadChecker) Check(p []byte) error {
 	for len(p) > 0 {
-		var n int
-		ok := true
+		var (
+			n  int
+			ok bool
+		)
 		switch h.part {
 		case _startLine:
 			n, ok = h.startLine(p)
