--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review3
-for n in 11 12 13 14; do
+for n in 11 12 13; do
   go build -tags review -o "target/review3/case$n" "./review/$n"
 done
--- a/review/rig3/caller.go
+++ b/review/rig3/caller.go
@@ -24,8 +24,6 @@
 	// Status is that of the answer, or 0 if there was none. Stamped is set if it has the stamp of a worker.
 	Status  int
 	Stamped bool
-	// Limit is the limit that the answer names, as text.
-	Limit string
 	// Body is the body of the answer, Whole is set if it ended as its head says.
 	Body  string
 	Whole bool
@@ -44,8 +42,7 @@
 	Pause   time.Duration
 	Objects int
 	Limit   time.Duration
-	// Key is the key of the callers' team, if they have one. Prefix begins the IDs of the requests.
-	Key    string
+	// Prefix begins the IDs of the requests.
 	Prefix string
 
 	ended   atomic.Bool
@@ -111,9 +108,6 @@
 	}()
 	var head bytes.Buffer
 	standin.WriteHead(&head, c.Method, c.Path+s.ID, c.Host, s.ID, fmt.Sprint(n%int64(c.Objects)), c.Limit)
-	if c.Key != "" {
-		standin.WriteKey(&head, c.Key, "none")
-	}
 	head.WriteString("\r\n")
 	_ = conn.SetDeadline(time.Now().Add(c.Limit + time.Second))
 	if _, err := conn.Write(head.Bytes()); err != nil {
@@ -127,6 +121,6 @@
 	s.Body, s.Whole = string(body), err == nil
 	names := platform.WorkerHeaders()
 	s.Answered, s.Status = time.Now(), resp.StatusCode
-	s.Stamped, s.Limit = resp.Header.Get(names.Stamp) != "", resp.Header.Get(names.Limit)
+	s.Stamped = resp.Header.Get(names.Stamp) != ""
 	return err == nil && !resp.Close
 }
--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -17,7 +17,6 @@
 	Entries []*Entry
 
 	dir  string
-	down chan bool
 	stop chan struct{}
 }
 
@@ -34,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Store: standin.NewKV(), dir: dir, down: make(chan bool, 1), stop: make(chan struct{})}
+	d := &Deployment{Store: standin.NewKV(), dir: dir, stop: make(chan struct{})}
 	d.Store.SetPageSize(500)
 	d.Store.Configure(1, []standin.Route{{
 		Name: "look", Host: Host, Kind: "idempotent", Timeout: 1500 * time.Millisecond, Objective: 400 * time.Millisecond,
@@ -49,10 +48,10 @@
 			return nil, err
 		}
 	}
-	for _, z := range zones {
+	for n, z := range zones {
 		e := &Entry{Name: "edge-" + z.Name + "-1", Zone: z, Zones: zones, Store: d.Store.Address(), Dir: dir}
 		d.Entries = append(d.Entries, e)
-		err := e.Prepare()
+		err := e.Prepare(n)
 		if err == nil {
 			err = e.Start()
 		}
@@ -84,34 +83,18 @@
 	_ = os.RemoveAll(d.dir)
 }
 
-// SetDown makes the store silent, or lets it serve again. Workers write no entries while it is down.
-func (d *Deployment) SetDown(down bool) {
-	if down {
-		d.down <- true
-		d.Store.SetMode(standin.KVSilent)
-		return
-	}
-	d.Store.SetMode(standin.KVServes)
-	d.down <- false
-}
-
 // beat writes the entries of the workers every 1.5 s.
 func (d *Deployment) beat() {
 	tick := time.NewTicker(1500 * time.Millisecond)
 	defer tick.Stop()
-	down := false
 	for {
 		select {
-		case down = <-d.down:
-			continue
 		case <-tick.C:
 		case <-d.stop:
 			return
 		}
-		if !down {
-			for _, w := range d.Workers {
-				w.Beat(d.Store)
-			}
+		for _, w := range d.Workers {
+			w.Beat(d.Store)
 		}
 	}
 }
--- a/review/rig3/entry.go
+++ b/review/rig3/entry.go
@@ -6,14 +6,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
-
-	"github.com/wigeonlock/wigeonlock/standin"
 )
 
 // Binary is the program of the build of the deploy file.
@@ -38,24 +38,33 @@
 	done  chan struct{}
 }
 
-// Prepare picks addresses and writes the settings, which are those of a small deployment.
-func (e *Entry) Prepare() error {
-	addresses := make([]string, 6)
-	for i := range addresses {
-		var err error
-		if addresses[i], err = standin.LoopbackAddress(); err != nil {
-			return err
-		}
-	}
-	e.Callers, e.ready = addresses[0], addresses[1]
+// Ports of an instance. Its host is its own.
+const (
+	_portCallers = 8641 + iota
+	_portReady
+	_portDirectory
+	_portPeers
+	_portPermits
+	_portAdmin
+)
+
+// Prepare writes the settings, which are those of a small deployment. The instance gets a loopback
+// address of its own, by the process that starts it and the number of the instance there, so that
+// runs at the same time do not take each other's ports.
+func (e *Entry) Prepare(number int) error {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 40+pid%200, 1+pid/200%250, 1+number)
+	address := func(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
+	e.Callers, e.ready = address(_portCallers), address(_portReady)
 	zones := make([]map[string]string, 0, len(e.Zones))
 	for _, z := range e.Zones {
 		zones = append(zones, map[string]string{"name": z.Name, "region": z.Region})
 	}
-	listen := func(i int) map[string]string { return map[string]string{"listen": addresses[i]} }
+	listen := func(port int) map[string]string { return map[string]string{"listen": address(port)} }
 	data, err := json.MarshalIndent(map[string]any{
 		"instance": e.Name, "region": e.Zone.Region, "zone": e.Zone.Name, "zones": zones,
-		"callers": listen(0), "readiness": listen(1), "directory": listen(2), "peers": listen(3), "permits": listen(4), "admin": listen(5),
+		"callers": listen(_portCallers), "readiness": listen(_portReady), "directory": listen(_portDirectory),
+		"peers": listen(_portPeers), "permits": listen(_portPermits), "admin": listen(_portAdmin),
 		"store": map[string]string{"address": e.Store}, "memoryMb": 284, "cores": 0.32, "linkMbit": 1000.0, "stopSeconds": 6, "ttlSeconds": 5,
 		"retry": map[string]any{"ratio": 0.2, "extra": 62, "windowSeconds": 10},
 		"cold":  map[string]any{"overrun": 1.5, "slack": 5},
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -30,9 +29,6 @@
 	// Status is that of the answer, and Ran is set if the worker ran the request.
 	Status int
 	Ran    bool
-	// Limit is the limit that the answer named, or zero; Rest the pause that it asked for.
-	Limit float64
-	Rest  time.Duration
 	// Body is the body of the answer to a request that ran, Spoiled is set if other bytes were sent.
 	Body    string
 	Spoiled bool
@@ -56,9 +52,6 @@
 
 	mu       sync.Mutex
 	running  int
-	limit    float64
-	rest     time.Duration
-	restsTo  time.Time
 	arrivals []Arrival
 }
 
@@ -101,21 +94,6 @@
 	w.spoil = spoil
 }
 
-// NameLimit makes all answers name a limit in requests per second.
-func (w *Worker) NameLimit(perSecond float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.limit = perSecond
-}
-
-// AskForRest makes the worker refuse all requests for a time; each refusal asks for the rest of a
-// pause that begins now.
-func (w *Worker) AskForRest(pause time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.rest, w.restsTo = pause, time.Now().Add(pause)
-}
-
 // Arrivals returns what reached the worker so far.
 func (w *Worker) Arrivals() []Arrival {
 	w.mu.Lock()
@@ -135,9 +113,6 @@
 	switch {
 	case expected != "" && expected != w.ID:
 		a.Status = http.StatusMisdirectedRequest
-	case time.Now().Before(w.restsTo):
-		a.Status, a.Rest = http.StatusServiceUnavailable, time.Until(w.restsTo)
-		head.Set(names.Rest, strconv.FormatFloat(a.Rest.Seconds(), 'f', 3, 64))
 	case !a.Health && w.running >= w.Slots:
 		a.Status = http.StatusServiceUnavailable
 	default:
@@ -148,10 +123,6 @@
 		a.Body = "run " + a.ID + " by " + w.ID
 	}
 	index := len(w.arrivals)
-	if w.limit > 0 {
-		a.Limit = w.limit
-		head.Set(names.Limit, strconv.FormatFloat(w.limit, 'f', -1, 64))
-	}
 	head.Set(names.Load, fmt.Sprintf("%d,0,%d", w.running, w.Slots))
 	w.arrivals = append(w.arrivals, a)
 	w.mu.Unlock()
