--- a/review/rig3/entry.go
+++ b/review/rig3/entry.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -90,6 +92,7 @@
 	if err := e.cmd.Start(); err != nil {
 		return err
 	}
+	track(e.cmd.Process)
 	done := make(chan struct{})
 	e.done = done
 	go func(cmd *exec.Cmd) {
@@ -145,3 +148,38 @@
 	data, _ := os.ReadFile(e.file("log"))
 	return string(data)
 }
+
+// _playLimit is the longest time of a play; a case may take 120 s.
+const _playLimit = 110 * time.Second
+
+var _processes struct {
+	sync.Mutex
+	watched bool
+	started []*os.Process
+}
+
+// track remembers a process that was started. If the play is told to end, or takes too long, all are
+// ended.
+func track(p *os.Process) {
+	_processes.Lock()
+	defer _processes.Unlock()
+	_processes.started = append(_processes.started, p)
+	if _processes.watched {
+		return
+	}
+	_processes.watched = true
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(_playLimit):
+		}
+		_processes.Lock()
+		for _, started := range _processes.started {
+			_ = started.Kill()
+		}
+		fmt.Fprintln(os.Stderr, "the play was ended")
+		os.Exit(2)
+	}()
+}
--- a/review/rig3/garble.go
+++ b/review/rig3/garble.go
@@ -4,9 +4,10 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"net/http"
 	"os"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -18,29 +19,42 @@
 	GarbleTime    = 5 * time.Second
 )
 
-// IsGarbled reports whether a worker spoils its answer to a request while it is in trouble.
-func IsGarbled(id string) bool {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return float64(h.Sum32()%10000) < GarbleAnswers*10000
+// Garbled is what was played.
+type Garbled struct {
+	// Runs are the runs of each request, Sent what callers sent.
+	Runs map[string][]Arrival
+	Sent []Sent
+	// Troubled is the number of workers in trouble, of Workers, Spoiled that of the answers which they
+	// spoiled, of Answers that they gave meanwhile.
+	Troubled, Workers, Spoiled, Answers int
 }
 
-// PlayGarble plays a deployment whose workers are in trouble for GarbleTime, and calls judge with
-// all that was sent and run. Half of the workers then send what spoil returns in place of a share
-// of their answers.
-func PlayGarble(spoil func(a Arrival, head http.Header, body string) []byte) (arrivals map[string]Arrival, sent []Sent, err error) {
+// PlayGarble plays a deployment whose workers are in trouble for GarbleTime. At most half of the workers then
+// send what spoil returns in place of one answer in twenty: each its 20th, 40th and so on.
+func PlayGarble(spoil func(a Arrival, head http.Header, body string) []byte) (*Garbled, error) {
 	d, err := Deploy()
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	defer d.Close()
 	from := time.Now().Add(8 * time.Second)
 	until := from.Add(GarbleTime)
-	for _, w := range d.Workers[:int(GarbleWorkers*float64(len(d.Workers)))] {
+	g := &Garbled{Runs: make(map[string][]Arrival), Troubled: int(GarbleWorkers * float64(len(d.Workers))), Workers: len(d.Workers)}
+	every := int(1 / GarbleAnswers)
+	var mu sync.Mutex
+	for _, w := range d.Workers[:g.Troubled] {
+		answers := 0
 		w.SetSpoil(func(a Arrival, head http.Header, body string) []byte {
-			if a.At.Before(from) || a.At.After(until) || !IsGarbled(a.ID) {
+			if a.At.Before(from) || a.At.After(until) {
 				return nil
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			g.Answers++
+			if answers++; answers%every != 0 {
+				return nil
+			}
+			g.Spoiled++
 			return spoil(a, head, body)
 		})
 	}
@@ -49,47 +63,52 @@
 	time.Sleep(4 * time.Second)
 	callers.Start()
 	time.Sleep(time.Until(until.Add(3 * time.Second)))
-	sent = callers.Stop()
-	arrivals = make(map[string]Arrival)
+	g.Sent = callers.Stop()
 	for _, w := range d.Workers {
 		for _, a := range w.Arrivals() {
-			// Of the runs of a request, the last is the one that may be answered.
-			if known, ok := arrivals[a.ID]; a.Ran && (!ok || a.At.After(known.At)) {
-				arrivals[a.ID] = a
+			if a.Ran {
+				g.Runs[a.ID] = append(g.Runs[a.ID], a)
 			}
 		}
 	}
-	return arrivals, sent, nil
+	return g, nil
+}
+
+// IsWhole reports whether a body is that of a worker's answer to the request.
+func IsWhole(body string, runs []Arrival) bool {
+	return slices.ContainsFunc(runs, func(a Arrival) bool { return a.Body == body })
 }
 
 // Record writes what was sent, run and answered to a file, one line a request, and the verdict.
-func Record(file string, sent []Sent, arrivals map[string]Arrival, broken func(s Sent, a Arrival) string) (code int, err error) {
+func (g *Garbled) Record(file string, broken func(s Sent, runs []Arrival) string) (code int, err error) {
 	out, err := os.Create(file)
 	if err != nil {
 		return 2, err
 	}
 	defer func() { _ = out.Close() }()
-	statuses, spoiled, wrong := make(map[int]int), 0, 0
-	for _, s := range sent {
-		a := arrivals[s.ID]
+	statuses, wrong := make(map[int]int), 0
+	for _, s := range g.Sent {
 		statuses[s.Status]++
-		if a.Spoiled {
-			spoiled++
-		}
-		fault := broken(s, a)
+		fault := broken(s, g.Runs[s.ID])
 		if fault != "" {
 			wrong++
 			fault = " BROKEN: " + fault
 		}
-		fmt.Fprintf(out, "%s sent, last run answered with %q (spoiled %v), caller got status %d stamped %v body %q whole %v%s\n",
-			s.ID, a.Body, a.Spoiled, s.Status, s.Stamped, s.Body, s.Whole, fault)
+		fmt.Fprintf(out, "%s sent; runs:", s.ID)
+		for _, a := range g.Runs[s.ID] {
+			fmt.Fprintf(out, " %q (spoiled %v)", a.Body, a.Spoiled)
+		}
+		fmt.Fprintf(out, "; caller got status %d stamped %v body %q whole %v%s\n", s.Status, s.Stamped, s.Body, s.Whole, fault)
 	}
+	dose := fmt.Sprintf("%d of %d workers sent %d of their %d answers in %.0f s otherwise", g.Troubled, g.Workers, g.Spoiled, g.Answers, GarbleTime.Seconds())
 	verdict := "held"
-	if wrong > 0 {
+	switch {
+	case g.Spoiled == 0 || float64(g.Spoiled) > GarbleAnswers*float64(g.Answers):
+		verdict, code = "not tried, by the dose", 2
+	case wrong > 0:
 		verdict, code = "BROKEN", 1
 	}
-	line := fmt.Sprintf("MIXED %s: %d of %d callers' requests got a wrong success; %d last runs were spoiled; answers by status %v\n",
-		verdict, wrong, len(sent), spoiled, statuses)
+	line := fmt.Sprintf("MIXED %s: %d of %d callers' requests got a wrong success; %s; answers by status %v\n", verdict, wrong, len(g.Sent), dose, statuses)
 	fmt.Fprint(out, line)
 	fmt.Print(line)
 	return code, nil
